Add the daemon object, serving threads and the platform table's concept

Cause: the parts that follow (platform, jobs, settings, peers) need one place that joins them and one interface to the platform's table.

Change: Daemon owns a control thread and the serving threads; a planned stop drains them.

Before: main() held the threads, and a stop cut connections.

Conclusion: parts can be built against these without knowing each other.

--- /dev/null
+++ b/contracts/table_check_builder.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "contracts/table_check.h"
+
+#include <optional>
+
+namespace sardinecourse {
+
+class Reason;
+
+/** Builds a TableCheck; Build() is empty, with the reason, when a field is missing or out of range.
+ */
+class TableCheckBuilder
+{
+public:
+  TableCheckBuilder& Key(std::string aKey);
+  TableCheckBuilder& Revision(std::int64_t aRevision);
+  std::optional<TableCheck> Build(Reason& aReason) const;
+
+private:
+  TableCheck value;
+};
+
+}
--- /dev/null
+++ b/contracts/table_row_builder.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "contracts/table_row.h"
+
+#include <optional>
+
+namespace sardinecourse {
+
+class Reason;
+
+/** Builds a TableRow; Build() is empty, with the reason, when a field is missing or out of range.
+ */
+class TableRowBuilder
+{
+public:
+  TableRowBuilder& Key(std::string aKey);
+  TableRowBuilder& Value(std::string aValue);
+  TableRowBuilder& Revision(std::int64_t aRevision);
+  std::optional<TableRow> Build(Reason& aReason) const;
+
+private:
+  TableRow value;
+};
+
+}
--- /dev/null
+++ b/contracts/table_write.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <string>
+
+namespace sardinecourse {
+
+/** One write of a transaction. */
+class TableWrite
+{
+public:
+  const std::string& Key() const { return this->key; }
+  /** Deletes the row when empty. */
+  const std::optional<std::string>& NewValue() const { return this->newValue; }
+
+  auto operator<=>(const TableWrite&) const = default;
+
+private:
+  friend class TableWriteBuilder;
+
+  std::string key;
+  std::optional<std::string> newValue;
+};
+
+}
--- a/daemon/sardinecoursed.cpp
+++ b/daemon/sardinecoursed.cpp
@@ -1,22 +1,15 @@
 #include "codecs/fleet_yaml.h"
 #include "codecs/host_settings_yaml.h"
 #include "codecs/yaml_document.h"
-#include "core/rcu_thread.h"
 #include "core/reason.h"
-#include "daemon/front_end.h"
-#include "links/http_server.h"
+#include "daemon/daemon.h"
 #include "machines/host_settings.h"
-#include "machines/minion_slot.h"
 #include "zones/fleet.h"
 
-#include <boost/asio/signal_set.hpp>
-#include <csignal>
 #include <iostream>
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <popt.h>
-#include <thread>
-#include <vector>
 
 namespace sardinecourse {
 
@@ -33,59 +26,25 @@
   return text ? DecodeHostSettings(*text, aPath, aReason) : std::nullopt;
 }
 
-MinionTable
-TableOf(const Fleet& aFleet, const DataCentreName& aDataCentre)
-{
-  MinionTable::Slots slots;
-  for (const DataCentre& dataCentre : aFleet.DataCentres()) {
-    if (dataCentre.Name() != aDataCentre) {
-      continue;
-    }
-    for (const Minion& minion : dataCentre.Minions()) {
-      slots.push_back(std::make_shared<MinionSlot>(minion));
-    }
-  }
-  return MinionTable(slots);
-}
-
-void
-ServeThread(const HostSettings& aSettings, const Snapshot<MinionTable>& aMinions)
-{
-  const RcuThread rcuThread;
-  boost::asio::io_context context(1);
-  FrontEnd frontEnd(context, aMinions);
-  HttpServer<FrontEnd> server(context, frontEnd);
-  Reason reason;
-  if (!server.Listen(aSettings.Host().Callers(), reason)) {
-    std::cerr << reason.Message() << '\n';
-    std::exit(kExitSettings);
-  }
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&context](const auto&, int) { context.stop(); });
-  context.run();
-}
-
 int
 Run(const HostSettings& aSettings, const std::string& aFleetPath)
 {
   Reason reason;
-  const std::optional<std::string> text = ReadTextFile(aFleetPath, reason);
-  const std::optional<Fleet> fleet =
-    text ? DecodeFleet(*text, aFleetPath, 0, reason) : std::nullopt;
-  if (!fleet) {
+  Daemon daemon(aSettings);
+  if (!aFleetPath.empty()) {
+    const std::optional<std::string> text = ReadTextFile(aFleetPath, reason);
+    const std::optional<Fleet> fleet =
+      text ? DecodeFleet(*text, aFleetPath, 0, reason) : std::nullopt;
+    if (!fleet) {
+      std::cerr << "sardinecoursed: " << reason.Message() << '\n';
+      return kExitSettings;
+    }
+    daemon.Adopt(*fleet);
+  }
+  if (!daemon.Run(reason)) {
     std::cerr << "sardinecoursed: " << reason.Message() << '\n';
     return kExitSettings;
   }
-  const Snapshot<MinionTable> minions(
-    std::make_unique<const MinionTable>(TableOf(*fleet, aSettings.Host().DataCentre())));
-  std::vector<std::thread> threads;
-  threads.reserve(static_cast<std::size_t>(aSettings.Threads()));
-  for (std::int32_t thread = 0; thread < aSettings.Threads(); ++thread) {
-    threads.emplace_back([&aSettings, &minions] { ServeThread(aSettings, minions); });
-  }
-  for (std::thread& thread : threads) {
-    thread.join();
-  }
   return kExitOk;
 }
 
