--- a/codecs/fleet_yaml.cpp
+++ b/codecs/fleet_yaml.cpp
@@ -27,7 +27,10 @@
 constexpr std::int64_t kDefaultConnections = 64;
 
 std::int32_t
-ReadInteger(YamlReader& aReader, const std::string& aKey, std::int64_t aLeast, std::int64_t aMost)
+ReadInteger(YamlReader& aReader,
+            const std::string& aKey,
+            std::int64_t aLeast,
+            std::int64_t aMost)
 {
   return static_cast<std::int32_t>(aReader.Integer(aKey, aLeast, aMost));
 }
@@ -64,15 +67,19 @@
 {
   std::vector<Worker> workers;
   aReader.Each("racks", [&](const std::string& aRack, YamlReader& aRackReader) {
-    aRackReader.Each("workers", [&](const std::string& aName, YamlReader& aWorker) {
-      WorkerBuilder builder;
-      builder.Name(WorkerName(aName)).Rack(RackName(aRack)).DataCentre(aDataCentre);
-      builder.Address(aWorker.Address("address"));
-      builder.Accelerators(ReadInteger(aWorker, "accelerators", 0, kMostAcceleratorsPerWorker));
-      builder.Cores(ReadInteger(aWorker, "cores", 1, kMostCores));
-      builder.Memory(ReadInteger(aWorker, "memory_mb", 1, kMostMemoryMb));
-      Keep(builder, aWorker, workers);
-    });
+    aRackReader.Each(
+      "workers", [&](const std::string& aName, YamlReader& aWorker) {
+        WorkerBuilder builder;
+        builder.Name(WorkerName(aName))
+          .Rack(RackName(aRack))
+          .DataCentre(aDataCentre);
+        builder.Address(aWorker.Address("address"));
+        builder.Accelerators(
+          ReadInteger(aWorker, "accelerators", 0, kMostAcceleratorsPerWorker));
+        builder.Cores(ReadInteger(aWorker, "cores", 1, kMostCores));
+        builder.Memory(ReadInteger(aWorker, "memory_mb", 1, kMostMemoryMb));
+        Keep(builder, aWorker, workers);
+      });
   });
   return workers;
 }
@@ -86,8 +93,8 @@
     builder.Name(MinionName(aName)).DataCentre(aDataCentre);
     builder.Service(ServiceName(aMinion.Text("service")));
     builder.Address(aMinion.Address("address"));
-    builder.Slots(
-      static_cast<std::int32_t>(aMinion.Integer("slots", kDefaultSlots, 1, kMostSlots)));
+    builder.Slots(static_cast<std::int32_t>(
+      aMinion.Integer("slots", kDefaultSlots, 1, kMostSlots)));
     builder.Connections(static_cast<std::int32_t>(
       aMinion.Integer("connections", kDefaultConnections, 1, kMostSlots)));
     Keep(builder, aMinion, minions);
@@ -96,14 +103,16 @@
 }
 
 std::vector<Guarantee>
-ReadGuarantees(YamlReader& aReader, const TeamName& aTeam, const DataCentreName& aDataCentre)
+ReadGuarantees(YamlReader& aReader,
+               const TeamName& aTeam,
+               const DataCentreName& aDataCentre)
 {
   std::vector<Guarantee> guarantees;
   aReader.EachItem("guarantees", [&](YamlReader& aItem) {
     ShapeBuilder shapeBuilder;
     shapeBuilder.Members(ReadInteger(aItem, "members", 1, kMostMembers));
-    shapeBuilder.AcceleratorsPerMember(
-      ReadInteger(aItem, "accelerators_per_member", 1, kMostAcceleratorsPerWorker));
+    shapeBuilder.AcceleratorsPerMember(ReadInteger(
+      aItem, "accelerators_per_member", 1, kMostAcceleratorsPerWorker));
     Reason reason;
     const std::optional<Shape> shape = shapeBuilder.Build(reason);
     if (!shape) {
@@ -112,7 +121,8 @@
     }
     GuaranteeBuilder builder;
     builder.Team(aTeam).DataCentre(aDataCentre).GangShape(*shape);
-    builder.Count(static_cast<std::int32_t>(aItem.Integer("count", 1, 1, kMostQuota)));
+    builder.Count(
+      static_cast<std::int32_t>(aItem.Integer("count", 1, 1, kMostQuota)));
     Keep(builder, aItem, guarantees);
   });
   return guarantees;
@@ -133,7 +143,9 @@
 }
 
 void
-ReadDataCentre(const std::string& aName, YamlReader& aReader, std::vector<DataCentre>& aTo)
+ReadDataCentre(const std::string& aName,
+               YamlReader& aReader,
+               std::vector<DataCentre>& aTo)
 {
   const DataCentreName name(aName);
   DataCentreBuilder builder;
@@ -161,9 +173,10 @@
   std::vector<DataCentre> dataCentres;
   FleetBuilder builder;
   builder.Name(FleetName(reader.Text("name"))).Revision(aRevision);
-  reader.Each("data_centres", [&dataCentres](const std::string& aName, YamlReader& aReader) {
-    ReadDataCentre(aName, aReader, dataCentres);
-  });
+  reader.Each("data_centres",
+              [&dataCentres](const std::string& aName, YamlReader& aReader) {
+                ReadDataCentre(aName, aReader, dataCentres);
+              });
   if (!reader.Finish(aReason)) {
     return std::nullopt;
   }
--- a/codecs/host_settings_yaml.cpp
+++ b/codecs/host_settings_yaml.cpp
@@ -35,7 +35,8 @@
 HasDuplicate(std::vector<Endpoint> aEndpoints)
 {
   std::sort(aEndpoints.begin(), aEndpoints.end());
-  return std::adjacent_find(aEndpoints.begin(), aEndpoints.end()) != aEndpoints.end();
+  return std::adjacent_find(aEndpoints.begin(), aEndpoints.end()) !=
+         aEndpoints.end();
 }
 
 void
@@ -51,7 +52,9 @@
 }
 
 std::optional<HostSettings>
-DecodeHostSettings(const std::string& aText, const std::string& aFile, Reason& aReason)
+DecodeHostSettings(const std::string& aText,
+                   const std::string& aFile,
+                   Reason& aReason)
 {
   const std::optional<YAML::Node> node = ParseYaml(aText, aFile, aReason);
   if (!node) {
@@ -66,8 +69,8 @@
   RefuseDuplicates(reader, "peer_seeds", peers);
   settings.Platform(platform);
   settings.Peers(peers);
-  settings.Threads(
-    static_cast<std::int32_t>(reader.Integer("threads", kDefaultThreads, 1, kMostThreads)));
+  settings.Threads(static_cast<std::int32_t>(
+    reader.Integer("threads", kDefaultThreads, 1, kMostThreads)));
   settings.LogLevel(reader.Text("log_level", "INFO"));
   settings.LogFile(reader.Text("log_file", ""));
   if (!reader.Finish(aReason)) {
--- a/codecs/host_settings_yaml.h
+++ b/codecs/host_settings_yaml.h
@@ -8,8 +8,11 @@
 class HostSettings;
 class Reason;
 
-/** Reads a daemon's own settings; empty, with file, line and key, at the first fault. */
+/** Reads a daemon's own settings; empty, with file, line and key, at the first
+ * fault. */
 std::optional<HostSettings>
-DecodeHostSettings(const std::string& aText, const std::string& aFile, Reason& aReason);
+DecodeHostSettings(const std::string& aText,
+                   const std::string& aFile,
+                   Reason& aReason);
 
 }
--- a/codecs/yaml_reader.cpp
+++ b/codecs/yaml_reader.cpp
@@ -16,7 +16,9 @@
 
 }
 
-YamlReader::YamlReader(const YAML::Node& aNode, std::string aFile, std::string aPath)
+YamlReader::YamlReader(const YAML::Node& aNode,
+                       std::string aFile,
+                       std::string aPath)
   : node(std::make_unique<const YAML::Node>(aNode))
   , file(std::move(aFile))
   , path(std::move(aPath))
@@ -62,7 +64,9 @@
 }
 
 std::int64_t
-YamlReader::Integer(const std::string& aKey, std::int64_t aLeast, std::int64_t aMost)
+YamlReader::Integer(const std::string& aKey,
+                    std::int64_t aLeast,
+                    std::int64_t aMost)
 {
   if (!this->Has(aKey)) {
     this->Fail(aKey, "is missing");
@@ -81,14 +85,16 @@
     return aDefault;
   }
   std::int64_t number = 0;
-  if (!value.IsScalar() || !YAML::convert<std::int64_t>::decode(value, number)) {
+  if (!value.IsScalar() ||
+      !YAML::convert<std::int64_t>::decode(value, number)) {
     this->FailAt(LineOf(value), aKey, "must be a whole number");
     return aDefault;
   }
   if (number < aLeast || number > aMost) {
     this->FailAt(LineOf(value),
                  aKey,
-                 "must be from " + std::to_string(aLeast) + " to " + std::to_string(aMost));
+                 "must be from " + std::to_string(aLeast) + " to " +
+                   std::to_string(aMost));
     return aDefault;
   }
   return number;
@@ -121,7 +127,8 @@
   }
   for (const YAML::Node& item : value) {
     Reason reason;
-    const auto endpoint = Endpoint::Parse(item.IsScalar() ? item.Scalar() : std::string(), reason);
+    const auto endpoint =
+      Endpoint::Parse(item.IsScalar() ? item.Scalar() : std::string(), reason);
     if (!endpoint) {
       this->FailAt(LineOf(item), aKey, reason.Text());
       return endpoints;
@@ -132,8 +139,9 @@
 }
 
 void
-YamlReader::Each(const std::string& aKey,
-                 const std::function<void(const std::string&, YamlReader&)>& aVisit)
+YamlReader::Each(
+  const std::string& aKey,
+  const std::function<void(const std::string&, YamlReader&)>& aVisit)
 {
   const YAML::Node value = this->Take(aKey);
   if (!value.IsDefined() || value.IsNull()) {
@@ -146,19 +154,24 @@
   std::vector<std::string> names;
   for (const auto& entry : value) {
     const std::string name = entry.first.IsScalar() ? entry.first.Scalar() : "";
-    if (name.empty() || std::find(names.begin(), names.end(), name) != names.end()) {
-      this->FailAt(LineOf(entry.first), aKey, "name '" + name + "' is empty or stands twice");
+    if (name.empty() ||
+        std::find(names.begin(), names.end(), name) != names.end()) {
+      this->FailAt(LineOf(entry.first),
+                   aKey,
+                   "name '" + name + "' is empty or stands twice");
       return;
     }
     names.push_back(name);
-    YamlReader child(entry.second, this->file, this->path + "." + aKey + "." + name);
+    YamlReader child(
+      entry.second, this->file, this->path + "." + aKey + "." + name);
     aVisit(name, child);
     this->Adopt(child);
   }
 }
 
 void
-YamlReader::EachItem(const std::string& aKey, const std::function<void(YamlReader&)>& aVisit)
+YamlReader::EachItem(const std::string& aKey,
+                     const std::function<void(YamlReader&)>& aVisit)
 {
   const YAML::Node value = this->Take(aKey);
   if (!value.IsDefined() || value.IsNull()) {
@@ -191,7 +204,8 @@
 YamlReader::Fail(const std::string& aKey, const std::string& aText)
 {
   const bool isThere = this->Has(aKey);
-  this->FailAt(isThere ? LineOf((*this->node)[aKey]) : this->Line(), aKey, aText);
+  this->FailAt(
+    isThere ? LineOf((*this->node)[aKey]) : this->Line(), aKey, aText);
 }
 
 void
@@ -201,8 +215,9 @@
     return;
   }
   const std::string key = aKey.empty() ? this->path : this->path + "." + aKey;
-  this->error =
-    Reason(Step::kSettings, this->file + ":" + std::to_string(aLine), key + " " + aText);
+  this->error = Reason(Step::kSettings,
+                       this->file + ":" + std::to_string(aLine),
+                       key + " " + aText);
 }
 
 void
@@ -219,8 +234,10 @@
 {
   if (this->node->IsMap()) {
     for (const auto& entry : *this->node) {
-      const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "?";
-      if (std::find(this->read.begin(), this->read.end(), key) == this->read.end()) {
+      const std::string key =
+        entry.first.IsScalar() ? entry.first.Scalar() : "?";
+      if (std::find(this->read.begin(), this->read.end(), key) ==
+          this->read.end()) {
         this->FailAt(LineOf(entry.first), key, "is not a known key");
       }
     }
--- a/codecs/yaml_reader.h
+++ b/codecs/yaml_reader.h
@@ -17,14 +17,15 @@
 namespace sardinecourse {
 
 /**
- * Reads one mapping of a settings file strictly: every key must be known, of its type and within
- * bounds. It keeps the first error, with file, line and key; the caller reads all keys and then
- * asks Finish().
+ * Reads one mapping of a settings file strictly: every key must be known, of
+ * its type and within bounds. It keeps the first error, with file, line and
+ * key; the caller reads all keys and then asks Finish().
  */
 class YamlReader
 {
 public:
-  /** aPath names the mapping in errors, for example "fleet.data_centres.east". */
+  /** aPath names the mapping in errors, for example "fleet.data_centres.east".
+   */
   YamlReader(const YAML::Node& aNode, std::string aFile, std::string aPath);
   ~YamlReader();
   YamlReader(const YamlReader&) = delete;
@@ -33,7 +34,9 @@
   /** A value that must be there. */
   std::string Text(const std::string& aKey);
   std::string Text(const std::string& aKey, const std::string& aDefault);
-  std::int64_t Integer(const std::string& aKey, std::int64_t aLeast, std::int64_t aMost);
+  std::int64_t Integer(const std::string& aKey,
+                       std::int64_t aLeast,
+                       std::int64_t aMost);
   std::int64_t Integer(const std::string& aKey,
                        std::int64_t aDefault,
                        std::int64_t aLeast,
@@ -41,11 +44,14 @@
   Endpoint Address(const std::string& aKey);
   std::vector<Endpoint> Addresses(const std::string& aKey);
 
-  /** Calls aVisit(name, reader) for each entry of the mapping under aKey, which may be absent. */
+  /** Calls aVisit(name, reader) for each entry of the mapping under aKey, which
+   * may be absent. */
   void Each(const std::string& aKey,
             const std::function<void(const std::string&, YamlReader&)>& aVisit);
-  /** Calls aVisit(reader) for each mapping of the sequence under aKey, which may be absent. */
-  void EachItem(const std::string& aKey, const std::function<void(YamlReader&)>& aVisit);
+  /** Calls aVisit(reader) for each mapping of the sequence under aKey, which
+   * may be absent. */
+  void EachItem(const std::string& aKey,
+                const std::function<void(YamlReader&)>& aVisit);
 
   bool Has(const std::string& aKey) const;
   /** Line of the mapping, from 1. */
@@ -53,7 +59,8 @@
 
   /** Records an error at aKey, unless one is recorded already. */
   void Fail(const std::string& aKey, const std::string& aText);
-  /** True when no error was recorded and no key was left unread; otherwise sets the reason. */
+  /** True when no error was recorded and no key was left unread; otherwise sets
+   * the reason. */
   bool Finish(Reason& aReason);
 
 private:
--- a/contracts/guarantee.h
+++ b/contracts/guarantee.h
@@ -8,7 +8,8 @@
 
 namespace sardinecourse {
 
-/** What a team can always reclaim in one data centre: a number of gangs of one shape, all at once.
+/** What a team can always reclaim in one data centre: a number of gangs of one
+ * shape, all at once.
  */
 class Guarantee
 {
--- a/contracts/guarantee_builder.cpp
+++ b/contracts/guarantee_builder.cpp
@@ -38,12 +38,14 @@
 GuaranteeBuilder::Build(Reason& aReason) const
 {
   if (this->value.team.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.team.Text(), "a guarantee needs a team");
+    aReason = Reason(
+      Step::kSettings, this->value.team.Text(), "a guarantee needs a team");
     return std::nullopt;
   }
   if (this->value.count < 1) {
-    aReason =
-      Reason(Step::kSettings, this->value.team.Text(), "a guarantee needs a count of at least 1");
+    aReason = Reason(Step::kSettings,
+                     this->value.team.Text(),
+                     "a guarantee needs a count of at least 1");
     return std::nullopt;
   }
   return this->value;
--- a/contracts/job.h
+++ b/contracts/job.h
@@ -9,8 +9,8 @@
 
 namespace sardinecourse {
 
-/** A gang job as its team submitted it. Sizes and run time are what the caller declared, and are
- * hints. */
+/** A gang job as its team submitted it. Sizes and run time are what the caller
+ * declared, and are hints. */
 class Job
 {
 public:
@@ -27,7 +27,10 @@
   /** Memory of each member, in MB. */
   std::int32_t MemoryPerMember() const { return this->memoryPerMember; }
   /** Run time that the caller declared; zero if none. */
-  std::chrono::milliseconds DeclaredRunTime() const { return this->declaredRunTime; }
+  std::chrono::milliseconds DeclaredRunTime() const
+  {
+    return this->declaredRunTime;
+  }
   /** True when it goes before other work of its team. */
   bool Urgent() const { return this->urgent; }
 
--- a/contracts/job_builder.cpp
+++ b/contracts/job_builder.cpp
@@ -66,24 +66,29 @@
 JobBuilder::Build(Reason& aReason) const
 {
   if (this->value.team.Empty()) {
-    aReason = Reason(Step::kAdmission, this->value.key.Text(), "a job needs a team");
+    aReason =
+      Reason(Step::kAdmission, this->value.key.Text(), "a job needs a team");
     return std::nullopt;
   }
   if (this->value.key.Empty()) {
-    aReason = Reason(Step::kAdmission, this->value.key.Text(), "a job needs a key");
+    aReason =
+      Reason(Step::kAdmission, this->value.key.Text(), "a job needs a key");
     return std::nullopt;
   }
   if (this->value.coresPerMember < 0) {
-    aReason = Reason(Step::kAdmission, this->value.key.Text(), "cores must not be negative");
+    aReason = Reason(
+      Step::kAdmission, this->value.key.Text(), "cores must not be negative");
     return std::nullopt;
   }
   if (this->value.memoryPerMember < 0) {
-    aReason = Reason(Step::kAdmission, this->value.key.Text(), "memory must not be negative");
+    aReason = Reason(
+      Step::kAdmission, this->value.key.Text(), "memory must not be negative");
     return std::nullopt;
   }
   if (this->value.declaredRunTime.count() < 0) {
-    aReason = Reason(
-      Step::kAdmission, this->value.key.Text(), "the declared run time must not be negative");
+    aReason = Reason(Step::kAdmission,
+                     this->value.key.Text(),
+                     "the declared run time must not be negative");
     return std::nullopt;
   }
   return this->value;
--- a/contracts/shape.h
+++ b/contracts/shape.h
@@ -5,15 +5,18 @@
 
 namespace sardinecourse {
 
-/** The adjacent accelerators that a gang needs: members, each with its accelerators on one worker,
- * all in one rack. */
+/** The adjacent accelerators that a gang needs: members, each with its
+ * accelerators on one worker, all in one rack. */
 class Shape
 {
 public:
   /** Number of gang members. */
   std::int32_t Members() const { return this->members; }
   /** Accelerators of each member, on one worker. */
-  std::int32_t AcceleratorsPerMember() const { return this->acceleratorsPerMember; }
+  std::int32_t AcceleratorsPerMember() const
+  {
+    return this->acceleratorsPerMember;
+  }
 
   auto operator<=>(const Shape&) const = default;
 
--- a/contracts/shape_builder.cpp
+++ b/contracts/shape_builder.cpp
@@ -26,7 +26,8 @@
     return std::nullopt;
   }
   if (this->value.acceleratorsPerMember < 0) {
-    aReason = Reason(Step::kAdmission, "", "accelerators per member must not be negative");
+    aReason = Reason(
+      Step::kAdmission, "", "accelerators per member must not be negative");
     return std::nullopt;
   }
   return this->value;
--- a/contracts/table_check.h
+++ b/contracts/table_check.h
@@ -6,7 +6,8 @@
 
 namespace sardinecourse {
 
-/** A condition of a transaction: the row still has the revision that was read. */
+/** A condition of a transaction: the row still has the revision that was read.
+ */
 class TableCheck
 {
 public:
--- a/contracts/table_check_builder.cpp
+++ b/contracts/table_check_builder.cpp
@@ -24,7 +24,8 @@
 TableCheckBuilder::Build(Reason& aReason) const
 {
   if (this->value.key.empty()) {
-    aReason = Reason(Step::kPlatformWrite, this->value.key, "a check needs a key");
+    aReason =
+      Reason(Step::kPlatformWrite, this->value.key, "a check needs a key");
     return std::nullopt;
   }
   return this->value;
--- a/contracts/table_transaction_builder.cpp
+++ b/contracts/table_transaction_builder.cpp
@@ -24,7 +24,8 @@
 TableTransactionBuilder::Build(Reason& aReason) const
 {
   if (this->value.writes.empty()) {
-    aReason = Reason(Step::kPlatformWrite, "", "a transaction needs at least one write");
+    aReason = Reason(
+      Step::kPlatformWrite, "", "a transaction needs at least one write");
     return std::nullopt;
   }
   return this->value;
--- a/contracts/table_write_builder.cpp
+++ b/contracts/table_write_builder.cpp
@@ -24,7 +24,8 @@
 TableWriteBuilder::Build(Reason& aReason) const
 {
   if (this->value.key.empty()) {
-    aReason = Reason(Step::kPlatformWrite, this->value.key, "a write needs a key");
+    aReason =
+      Reason(Step::kPlatformWrite, this->value.key, "a write needs a key");
     return std::nullopt;
   }
   return this->value;
--- a/contracts/team.h
+++ b/contracts/team.h
@@ -14,7 +14,8 @@
 {
 public:
   const TeamName& Name() const { return this->name; }
-  /** Accelerators the team may hold at the same time, borrowed ones included. */
+  /** Accelerators the team may hold at the same time, borrowed ones included.
+   */
   std::int32_t Quota() const { return this->quota; }
   /** What it can always reclaim. */
   const std::vector<Guarantee>& Guarantees() const { return this->guarantees; }
--- a/contracts/team_builder.cpp
+++ b/contracts/team_builder.cpp
@@ -31,11 +31,13 @@
 TeamBuilder::Build(Reason& aReason) const
 {
   if (this->value.name.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "a team needs a name");
+    aReason =
+      Reason(Step::kSettings, this->value.name.Text(), "a team needs a name");
     return std::nullopt;
   }
   if (this->value.quota < 0) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "a quota must not be negative");
+    aReason = Reason(
+      Step::kSettings, this->value.name.Text(), "a quota must not be negative");
     return std::nullopt;
   }
   return this->value;
--- a/core/endpoint.cpp
+++ b/core/endpoint.cpp
@@ -27,7 +27,8 @@
 {
   const std::size_t colon = aText.rfind(':');
   if (colon == std::string_view::npos) {
-    aReason = Reason(Step::kDecode, std::string(aText), "an endpoint is IP:PORT");
+    aReason =
+      Reason(Step::kDecode, std::string(aText), "an endpoint is IP:PORT");
     return std::nullopt;
   }
   std::string_view host = aText.substr(0, colon);
@@ -37,14 +38,17 @@
   Endpoint endpoint;
   endpoint.ip = std::string(host);
   if (!IsIpNumber(endpoint.ip)) {
-    aReason = Reason(Step::kDecode, std::string(aText), "the host must be an IP number");
+    aReason = Reason(
+      Step::kDecode, std::string(aText), "the host must be an IP number");
     return std::nullopt;
   }
   const std::string_view digits = aText.substr(colon + 1);
-  const auto [end, error] =
-    std::from_chars(digits.data(), digits.data() + digits.size(), endpoint.port);
-  if (error != std::errc() || end != digits.data() + digits.size() || endpoint.port == 0) {
-    aReason = Reason(Step::kDecode, std::string(aText), "the port must be 1 to 65535");
+  const auto [end, error] = std::from_chars(
+    digits.data(), digits.data() + digits.size(), endpoint.port);
+  if (error != std::errc() || end != digits.data() + digits.size() ||
+      endpoint.port == 0) {
+    aReason =
+      Reason(Step::kDecode, std::string(aText), "the port must be 1 to 65535");
     return std::nullopt;
   }
   return endpoint;
@@ -54,7 +58,8 @@
 Endpoint::Text() const
 {
   const bool isIpV6 = this->ip.find(':') != std::string::npos;
-  return (isIpV6 ? "[" + this->ip + "]" : this->ip) + ":" + std::to_string(this->port);
+  return (isIpV6 ? "[" + this->ip + "]" : this->ip) + ":" +
+         std::to_string(this->port);
 }
 
 }
--- a/core/name.h
+++ b/core/name.h
@@ -8,7 +8,8 @@
 
 namespace sardinecourse {
 
-/** A name of one kind of thing, so that a team's name cannot be passed for a worker's. */
+/** A name of one kind of thing, so that a team's name cannot be passed for a
+ * worker's. */
 template<typename Tag>
 class Name
 {
--- a/core/rcu.h
+++ b/core/rcu.h
@@ -2,7 +2,8 @@
 
 namespace sardinecourse {
 
-/** The few read-copy-update calls that Snapshot needs, so that no header names the library. */
+/** The few read-copy-update calls that Snapshot needs, so that no header names
+ * the library. */
 void
 RcuReadLock();
 void
@@ -12,7 +13,8 @@
 void
 RcuSynchronize();
 
-/** Lets the thread sanitizer see the order that a grace period gives; nothing in other builds. */
+/** Lets the thread sanitizer see the order that a grace period gives; nothing
+ * in other builds. */
 void
 RcuAnnotateReadEnd(const void* aSlot);
 void
--- a/core/rcu_thread.h
+++ b/core/rcu_thread.h
@@ -2,7 +2,8 @@
 
 namespace sardinecourse {
 
-/** Registers the calling thread as a reader of snapshots for as long as the object lives. */
+/** Registers the calling thread as a reader of snapshots for as long as the
+ * object lives. */
 class RcuThread
 {
 public:
--- a/core/reason.h
+++ b/core/reason.h
@@ -8,8 +8,9 @@
 namespace sardinecourse {
 
 /**
- * Why the last call returned an empty std::optional: the step, the peer at which it arose, and a
- * message. Functions that can fail take a Reason& and set it only when they fail.
+ * Why the last call returned an empty std::optional: the step, the peer at
+ * which it arose, and a message. Functions that can fail take a Reason& and set
+ * it only when they fail.
  */
 class Reason
 {
--- a/core/snapshot.h
+++ b/core/snapshot.h
@@ -8,9 +8,10 @@
 namespace sardinecourse {
 
 /**
- * One immutable value that a single writer replaces while many threads read it, by
- * read-copy-update. Readers take no lock, allocate nothing and never wait; their threads hold an
- * RcuThread. Publish() waits for a grace period, so it belongs on a control thread.
+ * One immutable value that a single writer replaces while many threads read it,
+ * by read-copy-update. Readers take no lock, allocate nothing and never wait;
+ * their threads hold an RcuThread. Publish() waits for a grace period, so it
+ * belongs on a control thread.
  */
 template<typename Value>
 class Snapshot
--- a/core/step.h
+++ b/core/step.h
@@ -5,7 +5,8 @@
 
 namespace sardinecourse {
 
-/** The step of a request, a job or a change of settings at which an error arose. */
+/** The step of a request, a job or a change of settings at which an error
+ * arose. */
 enum class Step : std::uint8_t
 {
   kNone,
@@ -27,7 +28,8 @@
   kShutdown
 };
 
-/** Name of a step as it appears in logs and answers, for example "upstream_connect". */
+/** Name of a step as it appears in logs and answers, for example
+ * "upstream_connect". */
 std::string_view
 StepName(Step aStep);
 
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -15,8 +15,9 @@
 class ServingThread;
 
 /**
- * The daemon of one entry host: threads that serve callers, and one control thread, the caller's
- * own, for everything else. The control thread publishes snapshots that the others read.
+ * The daemon of one entry host: threads that serve callers, and one control
+ * thread, the caller's own, for everything else. The control thread publishes
+ * snapshots that the others read.
  */
 class Daemon
 {
@@ -26,10 +27,12 @@
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
 
-  /** Serves until a planned stop; false, with the reason, when it could not start. */
+  /** Serves until a planned stop; false, with the reason, when it could not
+   * start. */
   bool Run(Reason& aReason);
 
-  /** Puts a revision of the fleet's settings in force. Called on the control thread. */
+  /** Puts a revision of the fleet's settings in force. Called on the control
+   * thread. */
   void Adopt(const Fleet& aFleet);
 
 private:
--- a/daemon/front_end.cpp
+++ b/daemon/front_end.cpp
@@ -31,7 +31,8 @@
   return answer;
 }
 
-/** The service named in "/services/NAME/..."; empty when the target is another. */
+/** The service named in "/services/NAME/..."; empty when the target is another.
+ */
 ServiceName
 ServiceOf(std::string_view aTarget)
 {
@@ -41,7 +42,8 @@
 
 }
 
-FrontEnd::FrontEnd(boost::asio::io_context& aContext, const Snapshot<MinionTable>& aMinions)
+FrontEnd::FrontEnd(boost::asio::io_context& aContext,
+                   const Snapshot<MinionTable>& aMinions)
   : context(&aContext)
   , minions(&aMinions)
   , random(std::random_device{}())
@@ -58,8 +60,9 @@
     HttpAnswer answer = co_await this->Forward(aRequest);
     co_return answer;
   }
-  co_return Refuse(
-    kNotFound, "not-run", Reason(Step::kDecode, aRequest.target, "no such resource"));
+  co_return Refuse(kNotFound,
+                   "not-run",
+                   Reason(Step::kDecode, aRequest.target, "no such resource"));
 }
 
 boost::asio::awaitable<HttpAnswer>
@@ -74,12 +77,14 @@
   }
   const log4cplus::Logger logger = log4cplus::Logger::getInstance("routing");
   if (!routed) {
-    LOG4CPLUS_INFO(logger, "refused service=" << service.Text() << " " << reason.Message());
+    LOG4CPLUS_INFO(
+      logger, "refused service=" << service.Text() << " " << reason.Message());
     co_return Refuse(kServiceUnavailable, "not-run", reason);
   }
   MinionSlot& slot = **routed;
   LOG4CPLUS_INFO(logger,
-                 "routed service=" << service.Text() << " minion=" << slot.Upstream().Name().Text()
+                 "routed service=" << service.Text() << " minion="
+                                   << slot.Upstream().Name().Text()
                                    << " in_flight=" << slot.InFlight());
   HttpConnection connection(*this->context, slot.Upstream().Address());
   if (!co_await connection.Connect(kConnectTimeout, reason)) {
--- a/daemon/front_end.h
+++ b/daemon/front_end.h
@@ -11,11 +11,13 @@
 
 namespace sardinecourse {
 
-/** Serves callers in one thread: routes each request to a minion and returns its whole answer. */
+/** Serves callers in one thread: routes each request to a minion and returns
+ * its whole answer. */
 class FrontEnd
 {
 public:
-  FrontEnd(boost::asio::io_context& aContext, const Snapshot<MinionTable>& aMinions);
+  FrontEnd(boost::asio::io_context& aContext,
+           const Snapshot<MinionTable>& aMinions);
 
   boost::asio::awaitable<HttpAnswer> Handle(HttpRequest aRequest);
 
--- a/daemon/sardinecoursed.cpp
+++ b/daemon/sardinecoursed.cpp
@@ -60,18 +60,41 @@
   const char* fleetPath = nullptr;
   int isCheck = 0;
   int isVersion = 0;
-  const poptOption options[] = {
-    { "settings", 's', POPT_ARG_STRING, &settingsPath, 0, "This host's settings", "FILE" },
-    { "fleet", 'f', POPT_ARG_STRING, &fleetPath, 0, "The fleet's settings", "FILE" },
-    { "check", 0, POPT_ARG_NONE, &isCheck, 0, "Check the settings and exit", nullptr },
-    { "version", 0, POPT_ARG_NONE, &isVersion, 0, "Print the version and exit", nullptr },
-    POPT_AUTOHELP POPT_TABLEEND
-  };
-  poptContext context = poptGetContext("sardinecoursed", aCount, aArguments, options, 0);
+  const poptOption options[] = { { "settings",
+                                   's',
+                                   POPT_ARG_STRING,
+                                   &settingsPath,
+                                   0,
+                                   "This host's settings",
+                                   "FILE" },
+                                 { "fleet",
+                                   'f',
+                                   POPT_ARG_STRING,
+                                   &fleetPath,
+                                   0,
+                                   "The fleet's settings",
+                                   "FILE" },
+                                 { "check",
+                                   0,
+                                   POPT_ARG_NONE,
+                                   &isCheck,
+                                   0,
+                                   "Check the settings and exit",
+                                   nullptr },
+                                 { "version",
+                                   0,
+                                   POPT_ARG_NONE,
+                                   &isVersion,
+                                   0,
+                                   "Print the version and exit",
+                                   nullptr },
+                                 POPT_AUTOHELP POPT_TABLEEND };
+  poptContext context =
+    poptGetContext("sardinecoursed", aCount, aArguments, options, 0);
   const int parsed = poptGetNextOpt(context);
   if (parsed < -1) {
-    std::cerr << "sardinecoursed: " << poptBadOption(context, 0) << ": " << poptStrerror(parsed)
-              << '\n';
+    std::cerr << "sardinecoursed: " << poptBadOption(context, 0) << ": "
+              << poptStrerror(parsed) << '\n';
     return kExitUsage;
   }
   poptFreeContext(context);
@@ -84,7 +107,8 @@
     return kExitUsage;
   }
   Reason reason;
-  const std::optional<HostSettings> settings = LoadHostSettings(settingsPath, reason);
+  const std::optional<HostSettings> settings =
+    LoadHostSettings(settingsPath, reason);
   if (!settings) {
     std::cerr << "sardinecoursed: " << reason.Message() << '\n';
     return kExitSettings;
--- a/daemon/serving_thread.h
+++ b/daemon/serving_thread.h
@@ -13,7 +13,8 @@
 class Endpoint;
 class Reason;
 
-/** One thread that serves callers, with its own event loop, listener and connections. */
+/** One thread that serves callers, with its own event loop, listener and
+ * connections. */
 class ServingThread
 {
 public:
@@ -23,7 +24,8 @@
   ServingThread& operator=(const ServingThread&) = delete;
 
   bool Start(const Endpoint& aEndpoint, Reason& aReason);
-  /** Takes no new connections; those open close after the answers they are working on. */
+  /** Takes no new connections; those open close after the answers they are
+   * working on. */
   void Drain();
   /** Waits until the thread has ended; it ends once drained. */
   void Join();
--- a/links/http_connection.cpp
+++ b/links/http_connection.cpp
@@ -57,12 +57,14 @@
 HttpConnection::Connect(Milliseconds aTimeout, Reason& aReason)
 {
   boost::system::error_code error;
-  const asio::ip::tcp::endpoint peer(asio::ip::make_address(this->endpoint.Ip()),
-                                     this->endpoint.Port());
+  const asio::ip::tcp::endpoint peer(
+    asio::ip::make_address(this->endpoint.Ip()), this->endpoint.Port());
   this->stream->tcp.expires_after(aTimeout);
-  co_await this->stream->tcp.async_connect(peer, asio::redirect_error(asio::use_awaitable, error));
+  co_await this->stream->tcp.async_connect(
+    peer, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    aReason = Reason(Step::kUpstreamConnect, this->endpoint.Text(), error.message());
+    aReason =
+      Reason(Step::kUpstreamConnect, this->endpoint.Text(), error.message());
     this->Close();
     co_return false;
   }
@@ -84,10 +86,12 @@
   this->stream->reusable = false;
   this->stream->tcp.expires_after(aTimeout);
   aProgress = ExchangeProgress::kMaybeSent;
-  co_await http::async_write(
-    this->stream->tcp, message, asio::redirect_error(asio::use_awaitable, error));
+  co_await http::async_write(this->stream->tcp,
+                             message,
+                             asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    aReason = Reason(Step::kUpstreamSend, this->endpoint.Text(), error.message());
+    aReason =
+      Reason(Step::kUpstreamSend, this->endpoint.Text(), error.message());
     this->Close();
     co_return std::nullopt;
   }
@@ -101,15 +105,19 @@
                             parser,
                             asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    aReason = Reason(Step::kUpstreamReceive, this->endpoint.Text(), error.message());
+    aReason =
+      Reason(Step::kUpstreamReceive, this->endpoint.Text(), error.message());
     this->Close();
     co_return std::nullopt;
   }
   aProgress = ExchangeProgress::kAnswered;
-  // An answer that ends with the connection cannot be told from a truncated one by its length, and
-  // bytes beyond the answer would be read as the answer to the next request.
-  const bool hasLength = parser.content_length().has_value() || parser.chunked();
-  this->stream->reusable = parser.keep_alive() && hasLength && this->stream->buffer.size() == 0;
+  // An answer that ends with the connection cannot be told from a truncated one
+  // by its length, and bytes beyond the answer would be read as the answer to
+  // the next request.
+  const bool hasLength =
+    parser.content_length().has_value() || parser.chunked();
+  this->stream->reusable =
+    parser.keep_alive() && hasLength && this->stream->buffer.size() == 0;
   if (!this->stream->reusable) {
     this->Close();
   }
--- a/links/http_connection.h
+++ b/links/http_connection.h
@@ -18,7 +18,8 @@
 class Reason;
 struct HttpRequest;
 
-/** One client connection to an HTTP server; it carries one exchange at a time. */
+/** One client connection to an HTTP server; it carries one exchange at a time.
+ */
 class HttpConnection
 {
 public:
@@ -32,18 +33,21 @@
   /** True while the connection is open and its last exchange ended whole. */
   bool Reusable() const;
 
-  /** Opens the connection; false, with the reason, when that fails before the timeout. */
+  /** Opens the connection; false, with the reason, when that fails before the
+   * timeout. */
   boost::asio::awaitable<bool> Connect(Milliseconds aTimeout, Reason& aReason);
 
   /**
-   * Sends the request and waits for the whole answer. Empty, with the reason, on a failure or a
-   * timeout; aProgress then tells whether the other side may have run the request. A connection
-   * whose exchange failed is closed, so a late answer can never be taken for another's.
+   * Sends the request and waits for the whole answer. Empty, with the reason,
+   * on a failure or a timeout; aProgress then tells whether the other side may
+   * have run the request. A connection whose exchange failed is closed, so a
+   * late answer can never be taken for another's.
    */
-  boost::asio::awaitable<std::optional<HttpAnswer>> Exchange(const HttpRequest& aRequest,
-                                                             Milliseconds aTimeout,
-                                                             ExchangeProgress& aProgress,
-                                                             Reason& aReason);
+  boost::asio::awaitable<std::optional<HttpAnswer>> Exchange(
+    const HttpRequest& aRequest,
+    Milliseconds aTimeout,
+    ExchangeProgress& aProgress,
+    Reason& aReason);
 
   void Close();
 
--- a/links/http_fields.cpp
+++ b/links/http_fields.cpp
@@ -20,19 +20,21 @@
 std::string_view
 HttpFields::Find(std::string_view aName) const
 {
-  const auto found =
-    std::find_if(this->fields.begin(), this->fields.end(), [aName](const HttpField& aField) {
+  const auto found = std::find_if(
+    this->fields.begin(), this->fields.end(), [aName](const HttpField& aField) {
       return IsNamed(aField, aName);
     });
-  return found == this->fields.end() ? std::string_view() : std::string_view(found->value);
+  return found == this->fields.end() ? std::string_view()
+                                     : std::string_view(found->value);
 }
 
 bool
 HttpFields::Has(std::string_view aName) const
 {
-  return std::any_of(this->fields.begin(), this->fields.end(), [aName](const HttpField& aField) {
-    return IsNamed(aField, aName);
-  });
+  return std::any_of(
+    this->fields.begin(), this->fields.end(), [aName](const HttpField& aField) {
+      return IsNamed(aField, aName);
+    });
 }
 
 void
--- a/links/http_message.cpp
+++ b/links/http_message.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/** Hop-by-hop fields (RFC 9110, section 7.6.1) and the length, which each message sets itself. */
+/** Hop-by-hop fields (RFC 9110, section 7.6.1) and the length, which each
+ * message sets itself. */
 bool
 IsHopByHop(http::field aField)
 {
--- a/links/http_message.h
+++ b/links/http_message.h
@@ -8,11 +8,14 @@
 
 namespace sardinecourse {
 
-/** Conversions between the library's messages and ours; hop-by-hop fields are left out. */
+/** Conversions between the library's messages and ours; hop-by-hop fields are
+ * left out. */
 HttpRequest
-FromMessage(boost::beast::http::request<boost::beast::http::string_body>&& aMessage);
+FromMessage(
+  boost::beast::http::request<boost::beast::http::string_body>&& aMessage);
 HttpAnswer
-FromMessage(boost::beast::http::response<boost::beast::http::string_body>&& aMessage);
+FromMessage(
+  boost::beast::http::response<boost::beast::http::string_body>&& aMessage);
 boost::beast::http::request<boost::beast::http::string_body>
 ToMessage(const HttpRequest& aRequest);
 boost::beast::http::response<boost::beast::http::string_body>
--- a/links/http_server.h
+++ b/links/http_server.h
@@ -33,8 +33,9 @@
 };
 
 /**
- * Serves HTTP on one endpoint in one thread's io_context. Several servers, each in its own thread,
- * may listen on the same endpoint; the kernel spreads connections over them.
+ * Serves HTTP on one endpoint in one thread's io_context. Several servers, each
+ * in its own thread, may listen on the same endpoint; the kernel spreads
+ * connections over them.
  */
 template<HttpHandler Handler>
 class HttpServer
@@ -47,13 +48,16 @@
   {
   }
 
-  /** Starts to accept. False, with the reason, when the endpoint cannot be bound. */
+  /** Starts to accept. False, with the reason, when the endpoint cannot be
+   * bound. */
   bool Listen(const Endpoint& aEndpoint, Reason& aReason)
   {
     using boost::asio::ip::tcp;
-    using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    using ReusePort =
+      boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
     boost::system::error_code error;
-    const tcp::endpoint endpoint(boost::asio::ip::make_address(aEndpoint.Ip()), aEndpoint.Port());
+    const tcp::endpoint endpoint(boost::asio::ip::make_address(aEndpoint.Ip()),
+                                 aEndpoint.Port());
     this->acceptor.open(endpoint.protocol(), error);
     if (!error) {
       this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
@@ -64,14 +68,17 @@
       this->acceptor.listen(kBacklog, error);
     }
     if (error) {
-      aReason = Reason(Step::kStartup, aEndpoint.Text(), "cannot listen: " + error.message());
+      aReason = Reason(
+        Step::kStartup, aEndpoint.Text(), "cannot listen: " + error.message());
       return false;
     }
-    boost::asio::co_spawn(*this->context, this->Accept(), boost::asio::detached);
+    boost::asio::co_spawn(
+      *this->context, this->Accept(), boost::asio::detached);
     return true;
   }
 
-  /** Accepts no more connections; each open one closes after the answer it is working on. */
+  /** Accepts no more connections; each open one closes after the answer it is
+   * working on. */
   void Drain()
   {
     boost::system::error_code ignored;
@@ -79,7 +86,8 @@
     this->acceptor.close(ignored);
     for (Session* session : this->sessions) {
       if (!session->busy) {
-        session->stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_receive, ignored);
+        session->stream.socket().shutdown(
+          boost::asio::ip::tcp::socket::shutdown_receive, ignored);
       }
     }
   }
@@ -107,14 +115,16 @@
   {
     boost::system::error_code error;
     while (!this->draining) {
-      boost::asio::ip::tcp::socket socket = co_await this->acceptor.async_accept(
-        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      boost::asio::ip::tcp::socket socket =
+        co_await this->acceptor.async_accept(
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
       if (error == boost::asio::error::operation_aborted) {
         co_return;
       }
       if (!error) {
-        boost::asio::co_spawn(
-          *this->context, this->Serve(std::move(socket)), boost::asio::detached);
+        boost::asio::co_spawn(*this->context,
+                              this->Serve(std::move(socket)),
+                              boost::asio::detached);
       }
     }
   }
@@ -140,10 +150,11 @@
     parser.header_limit(kHeaderLimitBytes);
     aSession.busy = false;
     aSession.stream.expires_after(kIdleTimeout);
-    co_await http::async_read(aSession.stream,
-                              aSession.buffer,
-                              parser,
-                              boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    co_await http::async_read(
+      aSession.stream,
+      aSession.buffer,
+      parser,
+      boost::asio::redirect_error(boost::asio::use_awaitable, error));
     if (error) {
       co_return false;
     }
@@ -157,7 +168,9 @@
     message.keep_alive(staysOpen);
     aSession.stream.expires_after(kIdleTimeout);
     co_await http::async_write(
-      aSession.stream, message, boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      aSession.stream,
+      message,
+      boost::asio::redirect_error(boost::asio::use_awaitable, error));
     co_return !error && staysOpen;
   }
 
--- a/links/platform_table.h
+++ b/links/platform_table.h
@@ -16,9 +16,10 @@
 
 /**
  * The platform's transactional table, as the daemon's loops use it.
- * Read gives a row of revision zero when there is none, and is empty when the platform did not
- * answer. Scan gives the rows whose keys start with a prefix, in the order of their keys. Commit
- * resolves lost answers by itself as far as it can.
+ * Read gives a row of revision zero when there is none, and is empty when the
+ * platform did not answer. Scan gives the rows whose keys start with a prefix,
+ * in the order of their keys. Commit resolves lost answers by itself as far as
+ * it can.
  */
 template<typename Table>
 concept PlatformTable = requires(Table& aTable,
@@ -31,7 +32,8 @@
     } -> std::same_as<boost::asio::awaitable<std::optional<TableRow>>>;
   {
     aTable.Scan(aKey, aReason)
-    } -> std::same_as<boost::asio::awaitable<std::optional<std::vector<TableRow>>>>;
+    } -> std::same_as<
+      boost::asio::awaitable<std::optional<std::vector<TableRow>>>>;
   {
     aTable.Commit(aTransaction, aReason)
     } -> std::same_as<boost::asio::awaitable<WriteOutcome>>;
--- a/machines/accelerator_range_builder.cpp
+++ b/machines/accelerator_range_builder.cpp
@@ -31,13 +31,15 @@
 AcceleratorRangeBuilder::Build(Reason& aReason) const
 {
   if (this->value.first < 0) {
-    aReason = Reason(
-      Step::kPlacement, this->value.worker.Text(), "an accelerator index must not be negative");
+    aReason = Reason(Step::kPlacement,
+                     this->value.worker.Text(),
+                     "an accelerator index must not be negative");
     return std::nullopt;
   }
   if (this->value.count < 0) {
-    aReason = Reason(
-      Step::kPlacement, this->value.worker.Text(), "an accelerator count must not be negative");
+    aReason = Reason(Step::kPlacement,
+                     this->value.worker.Text(),
+                     "an accelerator count must not be negative");
     return std::nullopt;
   }
   return this->value;
--- a/machines/accelerator_range_builder.h
+++ b/machines/accelerator_range_builder.h
@@ -8,8 +8,8 @@
 
 class Reason;
 
-/** Builds a AcceleratorRange; Build() is empty, with the reason, when a field is missing or out of
- * range. */
+/** Builds a AcceleratorRange; Build() is empty, with the reason, when a field
+ * is missing or out of range. */
 class AcceleratorRangeBuilder
 {
 public:
--- a/machines/entry_host_builder.cpp
+++ b/machines/entry_host_builder.cpp
@@ -38,11 +38,14 @@
 EntryHostBuilder::Build(Reason& aReason) const
 {
   if (this->value.name.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "an entry host needs a name");
+    aReason = Reason(
+      Step::kSettings, this->value.name.Text(), "an entry host needs a name");
     return std::nullopt;
   }
   if (this->value.dataCentre.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "an entry host needs a data centre");
+    aReason = Reason(Step::kSettings,
+                     this->value.name.Text(),
+                     "an entry host needs a data centre");
     return std::nullopt;
   }
   return this->value;
--- a/machines/host_settings.h
+++ b/machines/host_settings.h
@@ -10,7 +10,8 @@
 
 namespace sardinecourse {
 
-/** What one daemon learns from its own settings file; all else comes from the fleet's settings. */
+/** What one daemon learns from its own settings file; all else comes from the
+ * fleet's settings. */
 class HostSettings
 {
 public:
@@ -18,7 +19,8 @@
   const EntryHost& Host() const { return this->host; }
   /** Endpoints of the platform's service, tried in order. */
   const std::vector<Endpoint>& Platform() const { return this->platform; }
-  /** Peer endpoints asked for the settings in force when the platform does not answer. */
+  /** Peer endpoints asked for the settings in force when the platform does not
+   * answer. */
   const std::vector<Endpoint>& Peers() const { return this->peers; }
   /** Threads that serve requests. */
   std::int32_t Threads() const { return this->threads; }
--- a/machines/host_settings_builder.cpp
+++ b/machines/host_settings_builder.cpp
@@ -52,8 +52,9 @@
 HostSettingsBuilder::Build(Reason& aReason) const
 {
   if (this->value.threads < 1) {
-    aReason = Reason(
-      Step::kSettings, this->value.host.Name().Text(), "at least one thread must serve requests");
+    aReason = Reason(Step::kSettings,
+                     this->value.host.Name().Text(),
+                     "at least one thread must serve requests");
     return std::nullopt;
   }
   return this->value;
--- a/machines/minion_builder.cpp
+++ b/machines/minion_builder.cpp
@@ -52,20 +52,25 @@
 MinionBuilder::Build(Reason& aReason) const
 {
   if (this->value.name.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "a minion needs a name");
+    aReason =
+      Reason(Step::kSettings, this->value.name.Text(), "a minion needs a name");
     return std::nullopt;
   }
   if (this->value.service.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "a minion needs a service");
+    aReason = Reason(
+      Step::kSettings, this->value.name.Text(), "a minion needs a service");
     return std::nullopt;
   }
   if (this->value.slots < 1) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "a minion needs at least one slot");
+    aReason = Reason(Step::kSettings,
+                     this->value.name.Text(),
+                     "a minion needs at least one slot");
     return std::nullopt;
   }
   if (this->value.connections < 1) {
-    aReason =
-      Reason(Step::kSettings, this->value.name.Text(), "a minion needs at least one connection");
+    aReason = Reason(Step::kSettings,
+                     this->value.name.Text(),
+                     "a minion needs at least one connection");
     return std::nullopt;
   }
   return this->value;
--- a/machines/minion_slot.h
+++ b/machines/minion_slot.h
@@ -9,8 +9,8 @@
 namespace sardinecourse {
 
 /**
- * A minion with this host's live counters of it. It outlives the snapshots that name it, so that
- * counts survive a change of settings.
+ * A minion with this host's live counters of it. It outlives the snapshots that
+ * name it, so that counts survive a change of settings.
  */
 class MinionSlot
 {
@@ -22,9 +22,13 @@
 
   const Minion& Upstream() const { return this->minion; }
   /** Requests that this host has under way there. */
-  std::int32_t InFlight() const { return this->inFlight.load(std::memory_order_relaxed); }
+  std::int32_t InFlight() const
+  {
+    return this->inFlight.load(std::memory_order_relaxed);
+  }
 
-  /** Takes a slot unless this host already holds aShare of them; never waits. */
+  /** Takes a slot unless this host already holds aShare of them; never waits.
+   */
   bool TryAcquire(std::int32_t aShare)
   {
     if (this->inFlight.fetch_add(1, std::memory_order_acq_rel) < aShare) {
--- a/machines/worker_builder.cpp
+++ b/machines/worker_builder.cpp
@@ -59,15 +59,19 @@
 WorkerBuilder::Build(Reason& aReason) const
 {
   if (this->value.name.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "a worker needs a name");
+    aReason =
+      Reason(Step::kSettings, this->value.name.Text(), "a worker needs a name");
     return std::nullopt;
   }
   if (this->value.rack.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "a worker needs a rack");
+    aReason =
+      Reason(Step::kSettings, this->value.name.Text(), "a worker needs a rack");
     return std::nullopt;
   }
   if (this->value.accelerators < 0) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "accelerators must not be negative");
+    aReason = Reason(Step::kSettings,
+                     this->value.name.Text(),
+                     "accelerators must not be negative");
     return std::nullopt;
   }
   return this->value;
--- a/tests/core/endpoint_test.cpp
+++ b/tests/core/endpoint_test.cpp
@@ -26,7 +26,8 @@
 
   void RefusesWhatIsNoEndpoint()
   {
-    for (const char* text : { "127.0.0.1", "localhost:80", "127.0.0.1:0", "127.0.0.1:x", "" }) {
+    for (const char* text :
+         { "127.0.0.1", "localhost:80", "127.0.0.1:0", "127.0.0.1:x", "" }) {
       Reason reason;
       CPPUNIT_ASSERT(!Endpoint::Parse(text, reason).has_value());
       CPPUNIT_ASSERT_EQUAL(std::string(text), reason.Peer());
--- a/tests/core/snapshot_test.cpp
+++ b/tests/core/snapshot_test.cpp
@@ -32,7 +32,8 @@
     std::vector<std::thread> readers;
     readers.reserve(kReaders);
     for (int reader = 0; reader < kReaders; ++reader) {
-      readers.emplace_back([&snapshot, &violations] { ReadUntilLast(snapshot, violations); });
+      readers.emplace_back(
+        [&snapshot, &violations] { ReadUntilLast(snapshot, violations); });
     }
     for (int version = 1; version <= kPublications; ++version) {
       Words next;
@@ -46,7 +47,8 @@
   }
 
 private:
-  static void ReadUntilLast(const Snapshot<Words>& aSnapshot, std::atomic<int>& aViolations)
+  static void ReadUntilLast(const Snapshot<Words>& aSnapshot,
+                            std::atomic<int>& aViolations)
   {
     const RcuThread rcuThread;
     int last = 0;
--- a/tests/stand_ins/minion_stand_in.cpp
+++ b/tests/stand_ins/minion_stand_in.cpp
@@ -27,7 +27,8 @@
 {
   using namespace sardinecourse;
   Reason reason;
-  const auto endpoint = Endpoint::Parse(aCount > 1 ? aArguments[1] : "", reason);
+  const auto endpoint =
+    Endpoint::Parse(aCount > 1 ? aArguments[1] : "", reason);
   if (!endpoint) {
     std::cerr << reason.Message() << '\n';
     return 1;
--- a/tests/unit_test_main.cpp
+++ b/tests/unit_test_main.cpp
@@ -12,7 +12,8 @@
   const sardinecourse::RcuThread rcuThread;
   CppUnit::TextUi::TestRunner runner;
   runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
-  runner.setOutputter(new CppUnit::CompilerOutputter(&runner.result(), std::cerr));
+  runner.setOutputter(
+    new CppUnit::CompilerOutputter(&runner.result(), std::cerr));
   const bool isGreen = runner.run();
   // A program whose fixtures were not linked in must not count as passed.
   return isGreen && runner.result().runTests() > 0 ? 0 : 1;
--- a/zones/data_centre.h
+++ b/zones/data_centre.h
@@ -12,7 +12,8 @@
 
 namespace sardinecourse {
 
-/** One data centre: its racks of workers, its minions, its entry hosts and the teams it serves. */
+/** One data centre: its racks of workers, its minions, its entry hosts and the
+ * teams it serves. */
 class DataCentre
 {
 public:
--- a/zones/data_centre_builder.cpp
+++ b/zones/data_centre_builder.cpp
@@ -52,7 +52,8 @@
 DataCentreBuilder::Build(Reason& aReason) const
 {
   if (this->value.name.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "a data centre needs a name");
+    aReason = Reason(
+      Step::kSettings, this->value.name.Text(), "a data centre needs a name");
     return std::nullopt;
   }
   return this->value;
--- a/zones/fleet.h
+++ b/zones/fleet.h
@@ -16,7 +16,10 @@
   const FleetName& Name() const { return this->name; }
   /** Grows by one with each accepted change. */
   std::int64_t Revision() const { return this->revision; }
-  const std::vector<DataCentre>& DataCentres() const { return this->dataCentres; }
+  const std::vector<DataCentre>& DataCentres() const
+  {
+    return this->dataCentres;
+  }
 
   auto operator<=>(const Fleet&) const = default;
 
--- a/zones/fleet_builder.cpp
+++ b/zones/fleet_builder.cpp
@@ -31,7 +31,8 @@
 FleetBuilder::Build(Reason& aReason) const
 {
   if (this->value.name.Empty()) {
-    aReason = Reason(Step::kSettings, this->value.name.Text(), "a fleet needs a name");
+    aReason =
+      Reason(Step::kSettings, this->value.name.Text(), "a fleet needs a name");
     return std::nullopt;
   }
   return this->value;
--- a/zones/gang_placement_builder.cpp
+++ b/zones/gang_placement_builder.cpp
@@ -24,8 +24,9 @@
 GangPlacementBuilder::Build(Reason& aReason) const
 {
   if (this->value.members.empty()) {
-    aReason =
-      Reason(Step::kPlacement, this->value.rack.Text(), "a placement needs at least one member");
+    aReason = Reason(Step::kPlacement,
+                     this->value.rack.Text(),
+                     "a placement needs at least one member");
     return std::nullopt;
   }
   return this->value;
--- a/zones/routing.cpp
+++ b/zones/routing.cpp
@@ -14,7 +14,8 @@
 {
   const MinionTable::Slots* slots = aTable.Find(aService);
   if (slots == nullptr) {
-    aReason = Reason(Step::kRouting, aService.Text(), "no minion serves this service");
+    aReason =
+      Reason(Step::kRouting, aService.Text(), "no minion serves this service");
     return std::nullopt;
   }
   constexpr unsigned kHalfBits = 32;
@@ -24,7 +25,8 @@
   if ((*slots)[second]->InFlight() < (*slots)[first]->InFlight()) {
     first = second;
   }
-  // When both are full, one pass over the others finds any free slot before the request is refused.
+  // When both are full, one pass over the others finds any free slot before the
+  // request is refused.
   for (std::size_t tried = 0; tried < count; ++tried) {
     const std::shared_ptr<MinionSlot>& slot = (*slots)[(first + tried) % count];
     if (slot->TryAcquire(slot->Upstream().Slots())) {
