--- /dev/null
+++ b/codecs/stored_value.cpp
@@ -0,0 +1,34 @@
+#include "codecs/stored_value.h"
+
+#include <string_view>
+
+namespace sardinecourse {
+
+namespace {
+
+constexpr std::string_view kMark = "attempt ";
+
+}
+
+std::string
+EncodeStoredValue(const StoredValue& aValue)
+{
+  std::string text(kMark);
+  text += aValue.attempt;
+  text += '\n';
+  text += aValue.value;
+  return text;
+}
+
+StoredValue
+DecodeStoredValue(const std::string& aText)
+{
+  const std::size_t end = aText.find('\n');
+  if (!aText.starts_with(kMark) || end == std::string::npos) {
+    return { "", aText };
+  }
+  return { aText.substr(kMark.size(), end - kMark.size()),
+           aText.substr(end + 1) };
+}
+
+}
