Decide placement, reclaim and admission as functions of the data centre's load

The holder needs one call that says, for every waiting job, whether it starts now and where, which borrowed gangs stop for it, or what it waits for.

- DataCentreLoad resolves names once and derives free accelerators, what each team holds, which gangs run within a guarantee, and disjoint blocks out of which all remaining guarantees can be reclaimed at once.
- Borrowed gangs may stand anywhere, as those blocks only need gangs that can be stopped.
A guaranteed gang starts only where the other guarantees still have blocks; its own block is the fallback, so a claim always has a place.
- A gang with more than its share of a worker's cores or memory only borrows.
- GuaranteesFit refuses guarantees that no packing into racks can hold, and CanEverRun refuses jobs that can never run, both with the reason.

--- /dev/null
+++ b/tests/zones/schedule_test.cpp
@@ -0,0 +1,144 @@
+#include "tests/zones/sample_values.h"
+#include "zones/admission.h"
+#include "zones/data_centre_builder.h"
+#include "zones/guarantee_packing.h"
+#include "zones/schedule.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace sardinecourse {
+
+class ScheduleTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ScheduleTest);
+  CPPUNIT_TEST(ClaimReclaimsBorrowedGangsOfOneRack);
+  CPPUNIT_TEST(SmallGangGoesWhereLargeOnesLoseLeast);
+  CPPUNIT_TEST(JobThatNeverFitsIsRefusedWithTheReason);
+  CPPUNIT_TEST(GuaranteesThatExceedTheRacksAreRefused);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void ClaimReclaimsBorrowedGangsOfOneRack()
+  {
+    const std::vector<Team> teams = {
+      MakeTeam("lender", 16, { { MakeShape(2, 4), 1 } }),
+      MakeTeam("borrower", 16, {})
+    };
+    std::vector<WaitingJob> fill;
+    fill.reserve(16);
+    for (int job = 0; job < 16; ++job) {
+      fill.push_back(MakeWaiting(
+        "borrower", "small-" + std::to_string(job), MakeShape(1, 1), kStart));
+    }
+    const ScheduleDecision filled =
+      Schedule(Load(teams, {}), fill, PlacementWeights(), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 16 }, filled.Starts().size());
+    std::vector<RunningGang> running;
+    for (const GangStart& start : filled.Starts()) {
+      running.push_back(
+        MakeRunning(start.Request(), start.Placement(), kStart));
+    }
+    const WaitingJob claim =
+      MakeWaiting("lender", "claim", MakeShape(2, 4), kStart);
+    const ScheduleDecision decision =
+      Schedule(Load(teams, running), { claim }, PlacementWeights(), kStart);
+    CPPUNIT_ASSERT(decision.Starts().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 8 }, decision.Preemptions().size());
+    for (const Preemption& preemption : decision.Preemptions()) {
+      std::erase_if(running, [&](const RunningGang& aGang) {
+        return aGang.Key() == preemption.Key();
+      });
+    }
+    const ScheduleDecision claimed =
+      Schedule(Load(teams, running), { claim }, PlacementWeights(), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, claimed.Starts().size());
+  }
+
+  void SmallGangGoesWhereLargeOnesLoseLeast()
+  {
+    const std::vector<Team> teams = { MakeTeam("one", 16, {}) };
+    std::vector<RunningGang> running;
+    std::vector<RackName> racks;
+    for (int job = 0; job < 4; ++job) {
+      const WaitingJob small = MakeWaiting(
+        "one", "small-" + std::to_string(job), MakeShape(1, 1), kStart);
+      const ScheduleDecision decision =
+        Schedule(Load(teams, running), { small }, PlacementWeights(), kStart);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, decision.Starts().size());
+      const GangStart& start = decision.Starts().front();
+      running.push_back(
+        MakeRunning(start.Request(), start.Placement(), kStart));
+    }
+    // All four fill one worker and leave the other three whole.
+    for (const RunningGang& gang : running) {
+      CPPUNIT_ASSERT(gang.Placement().Members().front().Worker() ==
+                     running.front().Placement().Members().front().Worker());
+    }
+  }
+
+  void JobThatNeverFitsIsRefusedWithTheReason()
+  {
+    const DataCentre dataCentre = MakeDataCentre({ MakeTeam("one", 12, {}) });
+    Reason reason;
+    CPPUNIT_ASSERT(CanEverRun(dataCentre, MakeJob("one", 2, 4), reason));
+    CPPUNIT_ASSERT(!CanEverRun(dataCentre, MakeJob("one", 3, 4), reason));
+    CPPUNIT_ASSERT_EQUAL(
+      std::string("3 members fit in no rack; the largest takes 2"),
+      reason.Text());
+    CPPUNIT_ASSERT(!CanEverRun(dataCentre, MakeJob("one", 1, 5), reason));
+    CPPUNIT_ASSERT(!CanEverRun(dataCentre, MakeJob("one", 13, 1), reason));
+    CPPUNIT_ASSERT_EQUAL(std::string("13 accelerators exceed the quota of 12"),
+                         reason.Text());
+    CPPUNIT_ASSERT(!CanEverRun(dataCentre, MakeJob("two", 1, 1), reason));
+    CPPUNIT_ASSERT(reason.At() == Step::kAdmission);
+  }
+
+  void GuaranteesThatExceedTheRacksAreRefused()
+  {
+    const Shape half = MakeShape(1, 3);
+    Reason reason;
+    CPPUNIT_ASSERT(GuaranteesFit(
+      MakeDataCentre({ MakeTeam("one", 12, { { half, 4 } }) }), reason));
+    // Sixteen accelerators are enough for five, but not in adjacent threes.
+    CPPUNIT_ASSERT(
+      !GuaranteesFit(MakeDataCentre({ MakeTeam("one", 12, { { half, 3 } }),
+                                      MakeTeam("two", 12, { { half, 2 } }) }),
+                     reason));
+    CPPUNIT_ASSERT(reason.At() == Step::kSettings);
+    CPPUNIT_ASSERT(!GuaranteesFit(
+      MakeDataCentre({ MakeTeam("one", 11, { { half, 4 } }) }), reason));
+  }
+
+private:
+  static constexpr Instant kStart{ std::chrono::hours(1) };
+
+  static Job MakeJob(const std::string& aTeam,
+                     std::int32_t aMembers,
+                     std::int32_t aAccelerators)
+  {
+    return MakeWaiting(aTeam, "job", MakeShape(aMembers, aAccelerators), kStart)
+      .Request();
+  }
+
+  static DataCentre MakeDataCentre(const std::vector<Team>& aTeams)
+  {
+    return Made(DataCentreBuilder()
+                  .Name(DataCentreName("one"))
+                  .Workers(MakeWorkers(2, 2, 4))
+                  .Teams(aTeams));
+  }
+
+  static DataCentreLoad Load(const std::vector<Team>& aTeams,
+                             const std::vector<RunningGang>& aRunning)
+  {
+    return Made(DataCentreLoadBuilder()
+                  .DataCentre(DataCentreName("one"))
+                  .Workers(MakeWorkers(2, 2, 4))
+                  .Teams(aTeams)
+                  .Running(aRunning));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ScheduleTest);
+
+}
--- /dev/null
+++ b/zones/admission.cpp
@@ -0,0 +1,92 @@
+#include "zones/admission.h"
+
+#include "contracts/job.h"
+#include "core/reason.h"
+#include "machines/worker_occupancy.h"
+#include "zones/data_centre.h"
+#include "zones/gang_fit.h"
+#include "zones/member_room.h"
+#include "zones/rack.h"
+#include "zones/rack_order.h"
+
+#include <algorithm>
+#include <string>
+
+namespace sardinecourse {
+
+namespace {
+
+Reason
+Refuse(const Job& aJob, std::string aText)
+{
+  return { Step::kAdmission, aJob.Key().Text(), std::move(aText) };
+}
+
+bool
+IsWithinQuota(const DataCentre& aDataCentre, const Job& aJob, Reason& aReason)
+{
+  const auto team =
+    std::ranges::find(aDataCentre.Teams(), aJob.Team(), [](const Team& aTeam) {
+      return aTeam.Name();
+    });
+  if (team == aDataCentre.Teams().end()) {
+    aReason = Refuse(aJob,
+                     "team " + aJob.Team().Text() + " is unknown in " +
+                       aDataCentre.Name().Text());
+    return false;
+  }
+  const Shape shape = aJob.GangShape();
+  const std::int64_t wanted =
+    std::int64_t{ shape.Members() } * shape.AcceleratorsPerMember();
+  if (wanted > team->Quota()) {
+    aReason =
+      Refuse(aJob,
+             std::to_string(wanted) + " accelerators exceed the quota of " +
+               std::to_string(team->Quota()));
+    return false;
+  }
+  return true;
+}
+
+}
+
+bool
+CanEverRun(const DataCentre& aDataCentre, const Job& aJob, Reason& aReason)
+{
+  if (!IsWithinQuota(aDataCentre, aJob, aReason)) {
+    return false;
+  }
+  const Shape shape = aJob.GangShape();
+  const std::vector<Worker> workers = SortByRack(aDataCentre.Workers());
+  std::int32_t mostMembers = 0;
+  for (const Rack& rack : RacksOf(workers)) {
+    std::int32_t members = 0;
+    for (std::int32_t worker = rack.First();
+         worker < rack.First() + rack.Count();
+         ++worker) {
+      const WorkerOccupancy idle(workers[worker]);
+      members += CountMembers(
+        RoomOf(worker, idle.Free(), idle.Cores(), idle.Memory(), aJob),
+        shape.AcceleratorsPerMember());
+    }
+    mostMembers = std::max(mostMembers, members);
+  }
+  if (mostMembers == 0) {
+    aReason =
+      Refuse(aJob,
+             "no worker has " + std::to_string(shape.AcceleratorsPerMember()) +
+               " accelerators, " + std::to_string(aJob.CoresPerMember()) +
+               " cores and " + std::to_string(aJob.MemoryPerMember()) + " MB");
+    return false;
+  }
+  if (mostMembers < shape.Members()) {
+    aReason = Refuse(aJob,
+                     std::to_string(shape.Members()) +
+                       " members fit in no rack; the largest takes " +
+                       std::to_string(mostMembers));
+    return false;
+  }
+  return true;
+}
+
+}
--- /dev/null
+++ b/zones/data_centre_load_builder.cpp
@@ -0,0 +1,262 @@
+#include "zones/data_centre_load_builder.h"
+
+#include "core/reason.h"
+#include "zones/guarantee_packing.h"
+#include "zones/rack_order.h"
+
+#include <algorithm>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+namespace sardinecourse {
+
+DataCentreLoadBuilder&
+DataCentreLoadBuilder::DataCentre(DataCentreName aDataCentre)
+{
+  this->value.dataCentre = std::move(aDataCentre);
+  return *this;
+}
+
+DataCentreLoadBuilder&
+DataCentreLoadBuilder::Workers(std::vector<Worker> aWorkers)
+{
+  this->value.workers = SortByRack(std::move(aWorkers));
+  return *this;
+}
+
+DataCentreLoadBuilder&
+DataCentreLoadBuilder::Teams(std::vector<Team> aTeams)
+{
+  this->value.teams = std::move(aTeams);
+  return *this;
+}
+
+DataCentreLoadBuilder&
+DataCentreLoadBuilder::Running(std::vector<RunningGang> aRunning)
+{
+  this->value.running = std::move(aRunning);
+  return *this;
+}
+
+DataCentreLoadBuilder&
+DataCentreLoadBuilder::Unavailable(std::vector<WorkerName> aUnavailable)
+{
+  this->value.unavailable = std::move(aUnavailable);
+  return *this;
+}
+
+std::optional<DataCentreLoad>
+DataCentreLoadBuilder::Build(Reason& aReason) const
+{
+  if (this->value.dataCentre.Empty()) {
+    aReason = Reason(Step::kPlacement, "", "a load needs a data centre");
+    return std::nullopt;
+  }
+  DataCentreLoad load = this->value;
+  load.racks = RacksOf(load.workers);
+  IndexMembers(load);
+  IndexWorkers(load);
+  IndexTeams(load);
+  AssignGuarantees(load);
+  Occupy(load);
+  return load;
+}
+
+/** Resolves worker names once, so that decisions work on indices alone. */
+void
+DataCentreLoadBuilder::IndexMembers(DataCentreLoad& aLoad)
+{
+  std::unordered_map<WorkerName, std::int32_t> byName;
+  byName.reserve(aLoad.workers.size());
+  for (std::size_t worker = 0; worker < aLoad.workers.size(); ++worker) {
+    byName.emplace(aLoad.workers[worker].Name(),
+                   static_cast<std::int32_t>(worker));
+    aLoad.occupancy.emplace_back(aLoad.workers[worker]);
+  }
+  for (const WorkerName& name : aLoad.unavailable) {
+    const auto worker = byName.find(name);
+    if (worker != byName.end()) {
+      aLoad.occupancy[worker->second] =
+        aLoad.occupancy[worker->second].Unavailable();
+    }
+  }
+  aLoad.firstPlaces.push_back(0);
+  for (const RunningGang& gang : aLoad.running) {
+    for (const AcceleratorRange& range : gang.Placement().Members()) {
+      const auto worker = byName.find(range.Worker());
+      if (worker != byName.end()) {
+        aLoad.places.emplace_back(worker->second, range.First(), range.Count());
+      }
+    }
+    aLoad.firstPlaces.push_back(static_cast<std::int32_t>(aLoad.places.size()));
+  }
+}
+
+void
+DataCentreLoadBuilder::IndexWorkers(DataCentreLoad& aLoad)
+{
+  aLoad.firstGangs.assign(aLoad.workers.size() + 1, 0);
+  for (const MemberPlace& place : aLoad.places) {
+    ++aLoad.firstGangs[place.Worker() + 1];
+  }
+  for (std::size_t worker = 0; worker < aLoad.workers.size(); ++worker) {
+    aLoad.firstGangs[worker + 1] += aLoad.firstGangs[worker];
+  }
+  std::vector<std::int32_t> next = aLoad.firstGangs;
+  aLoad.gangs.resize(aLoad.places.size());
+  for (std::size_t gang = 0; gang < aLoad.running.size(); ++gang) {
+    const auto index = static_cast<std::int32_t>(gang);
+    for (const MemberPlace& place : aLoad.PlacesOf(index)) {
+      aLoad.gangs[next[place.Worker()]++] = index;
+    }
+  }
+}
+
+void
+DataCentreLoadBuilder::IndexTeams(DataCentreLoad& aLoad)
+{
+  std::unordered_map<TeamName, std::int32_t> byName;
+  for (std::size_t team = 0; team < aLoad.teams.size(); ++team) {
+    byName.emplace(aLoad.teams[team].Name(), static_cast<std::int32_t>(team));
+  }
+  aLoad.held.assign(aLoad.teams.size(), 0);
+  aLoad.gangTeams.reserve(aLoad.running.size());
+  for (const RunningGang& gang : aLoad.running) {
+    const auto team = byName.find(gang.Team());
+    if (team == byName.end()) {
+      aLoad.gangTeams.push_back(-1);
+      continue;
+    }
+    aLoad.gangTeams.push_back(team->second);
+    const Shape shape = gang.GangShape();
+    aLoad.held[team->second] += shape.Members() * shape.AcceleratorsPerMember();
+  }
+}
+
+/**
+ * A team's oldest gangs of a guaranteed shape count as guaranteed, as long as
+ * the rest of all guarantees still has room beside them. A gang that stands
+ * where only another team's guarantee has room is borrowed.
+ */
+void
+DataCentreLoadBuilder::AssignGuarantees(DataCentreLoad& aLoad)
+{
+  const std::vector<GuaranteeUnit> units = UnitsOf(aLoad.teams);
+  const std::vector<std::int32_t> candidates = FindCandidates(aLoad, units);
+  std::size_t met = Assign(aLoad, candidates, units);
+  if (met < units.size()) {
+    std::vector<std::int32_t> accepted;
+    met = Assign(aLoad, accepted, units);
+    for (const std::int32_t candidate : candidates) {
+      accepted.push_back(candidate);
+      const std::size_t metWith = Assign(aLoad, accepted, units);
+      if (metWith < met) {
+        accepted.pop_back();
+      } else {
+        met = metWith;
+      }
+    }
+    met = Assign(aLoad, accepted, units);
+  }
+  aLoad.unmetGuarantees = static_cast<std::int32_t>(units.size() - met);
+}
+
+std::vector<std::int32_t>
+DataCentreLoadBuilder::FindCandidates(const DataCentreLoad& aLoad,
+                                      std::vector<GuaranteeUnit> aUnits)
+{
+  std::vector<std::int32_t> oldest(aLoad.running.size());
+  for (std::size_t gang = 0; gang < oldest.size(); ++gang) {
+    oldest[gang] = static_cast<std::int32_t>(gang);
+  }
+  const auto isOlder = [&aLoad](std::int32_t aLeft, std::int32_t aRight) {
+    const RunningGang& left = aLoad.running[aLeft];
+    const RunningGang& right = aLoad.running[aRight];
+    return std::tuple(left.Started(), left.Key(), aLeft) <
+           std::tuple(right.Started(), right.Key(), aRight);
+  };
+  std::erase_if(
+    oldest, [&aLoad](std::int32_t aGang) { return !IsEligible(aLoad, aGang); });
+  std::sort(oldest.begin(), oldest.end(), isOlder);
+  std::erase_if(oldest, [&](std::int32_t aGang) {
+    const GuaranteeUnit wanted(aLoad.gangTeams[aGang],
+                               aLoad.running[aGang].GangShape());
+    const auto unit = std::find(aUnits.begin(), aUnits.end(), wanted);
+    if (unit == aUnits.end()) {
+      return true;
+    }
+    aUnits.erase(unit);
+    return false;
+  });
+  return oldest;
+}
+
+bool
+DataCentreLoadBuilder::IsEligible(const DataCentreLoad& aLoad,
+                                  std::int32_t aGang)
+{
+  const std::int32_t team = aLoad.gangTeams[aGang];
+  if (team < 0) {
+    return false;
+  }
+  const RunningGang& gang = aLoad.running[aGang];
+  const auto isGuaranteed = [&gang](const Guarantee& aGuarantee) {
+    return aGuarantee.GangShape() == gang.GangShape();
+  };
+  if (std::ranges::none_of(aLoad.teams[team].Guarantees(), isGuaranteed)) {
+    return false;
+  }
+  return std::ranges::all_of(
+    aLoad.PlacesOf(aGang), [&](const MemberPlace& aPlace) {
+      return WorkerOccupancy(aLoad.workers[aPlace.Worker()])
+        .IsWithinShare(
+          aPlace.Count(), gang.CoresPerMember(), gang.MemoryPerMember());
+    });
+}
+
+/** Takes the gangs as guaranteed and packs the remaining units around them.
+ * Returns how many units have a gang or a block. */
+std::size_t
+DataCentreLoadBuilder::Assign(DataCentreLoad& aLoad,
+                              const std::vector<std::int32_t>& aGuaranteed,
+                              const std::vector<GuaranteeUnit>& aUnits)
+{
+  std::vector<AcceleratorMask> masks;
+  masks.reserve(aLoad.workers.size());
+  for (const WorkerOccupancy& worker : aLoad.occupancy) {
+    masks.push_back(worker.Usable());
+  }
+  std::vector<GuaranteeUnit> units = aUnits;
+  aLoad.guaranteed.assign(aLoad.running.size(), 0);
+  for (const std::int32_t gang : aGuaranteed) {
+    aLoad.guaranteed[gang] = 1;
+    for (const MemberPlace& place : aLoad.PlacesOf(gang)) {
+      masks[place.Worker()] &= ~place.Mask();
+    }
+    const GuaranteeUnit held(aLoad.gangTeams[gang],
+                             aLoad.running[gang].GangShape());
+    units.erase(std::find(units.begin(), units.end(), held));
+  }
+  aLoad.guaranteeBlocks =
+    PackGuarantees(aLoad.racks, std::move(masks), std::move(units));
+  return aGuaranteed.size() + aLoad.guaranteeBlocks.size();
+}
+
+void
+DataCentreLoadBuilder::Occupy(DataCentreLoad& aLoad)
+{
+  for (std::size_t gang = 0; gang < aLoad.running.size(); ++gang) {
+    const auto index = static_cast<std::int32_t>(gang);
+    const std::int32_t cores = aLoad.running[gang].CoresPerMember();
+    const std::int32_t memory = aLoad.running[gang].MemoryPerMember();
+    for (const MemberPlace& place : aLoad.PlacesOf(index)) {
+      WorkerOccupancy& worker = aLoad.occupancy[place.Worker()];
+      worker = aLoad.IsGuaranteed(index)
+                 ? worker.WithGuaranteed(place.Mask(), cores, memory)
+                 : worker.WithBorrowed(place.Mask(), cores, memory);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/zones/gang_fit.cpp
@@ -0,0 +1,68 @@
+#include "zones/gang_fit.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace sardinecourse {
+
+namespace {
+
+void
+TakeMembers(const WorkerRoom& aRoom,
+            Shape aShape,
+            std::vector<MemberPlace>& aPlaces)
+{
+  const std::int32_t size = aShape.AcceleratorsPerMember();
+  AcceleratorMask left = aRoom.Accelerators();
+  std::int32_t members = CountMembers(aRoom, size);
+  for (; members > 0; --members) {
+    if (std::cmp_equal(aPlaces.size(), aShape.Members())) {
+      return;
+    }
+    const std::int32_t first =
+      size == 0 ? 0 : FindRange(left, size).value_or(0);
+    aPlaces.emplace_back(aRoom.Worker(), first, size);
+    left &= ~RangeMask(first, size);
+  }
+}
+
+}
+
+std::int32_t
+CountMembers(const WorkerRoom& aRoom, std::int32_t aAccelerators)
+{
+  if (aAccelerators == 0) {
+    return aRoom.MostMembers();
+  }
+  return std::min(aRoom.MostMembers(),
+                  CountRanges(aRoom.Accelerators(), aAccelerators));
+}
+
+std::vector<MemberPlace>
+FitGang(std::vector<WorkerRoom>& aRooms, Shape aShape)
+{
+  std::int32_t members = 0;
+  for (const WorkerRoom& room : aRooms) {
+    members += CountMembers(room, aShape.AcceleratorsPerMember());
+  }
+  if (members < aShape.Members()) {
+    return {};
+  }
+  std::sort(aRooms.begin(),
+            aRooms.end(),
+            [](const WorkerRoom& aLeft, const WorkerRoom& aRight) {
+              const std::int32_t left = BlockValue(aLeft.Accelerators());
+              const std::int32_t right = BlockValue(aRight.Accelerators());
+              return std::pair(left, aLeft.Worker()) <
+                     std::pair(right, aRight.Worker());
+            });
+  std::vector<MemberPlace> places;
+  places.reserve(aShape.Members());
+  for (const WorkerRoom& room : aRooms) {
+    TakeMembers(room, aShape, places);
+  }
+  return places;
+}
+
+}
--- /dev/null
+++ b/zones/member_room.cpp
@@ -0,0 +1,26 @@
+#include "zones/member_room.h"
+
+#include "contracts/job.h"
+
+#include <algorithm>
+
+namespace sardinecourse {
+
+WorkerRoom
+RoomOf(std::int32_t aWorker,
+       AcceleratorMask aAccelerators,
+       std::int32_t aCores,
+       std::int32_t aMemory,
+       const Job& aJob)
+{
+  std::int32_t members = aJob.GangShape().Members();
+  if (aJob.CoresPerMember() > 0) {
+    members = std::min(members, aCores / aJob.CoresPerMember());
+  }
+  if (aJob.MemoryPerMember() > 0) {
+    members = std::min(members, aMemory / aJob.MemoryPerMember());
+  }
+  return { aWorker, aAccelerators, members };
+}
+
+}
--- /dev/null
+++ b/zones/reclaim.cpp
@@ -0,0 +1,43 @@
+#include "zones/reclaim.h"
+
+#include "zones/data_centre_load.h"
+#include "zones/reclaim_search.h"
+
+#include <algorithm>
+
+namespace sardinecourse {
+
+std::vector<ReclaimPlan>
+PlanReclaims(const DataCentreLoad& aLoad,
+             const std::vector<WorkerOccupancy>& aOccupancy,
+             const std::vector<char>& aStopping,
+             const Job& aJob,
+             ReclaimReach aReach,
+             Instant aNow)
+{
+  const ReclaimSearch search(aLoad, aOccupancy, aStopping, aJob, aReach, aNow);
+  std::vector<ReclaimPlan> plans;
+  for (const Rack& rack : aLoad.Racks()) {
+    std::optional<ReclaimPlan> plan = search.PlanRack(rack);
+    if (plan) {
+      plans.push_back(std::move(*plan));
+    }
+  }
+  std::ranges::sort(plans);
+  return plans;
+}
+
+std::optional<ReclaimPlan>
+PlanReclaimAt(const DataCentreLoad& aLoad,
+              const std::vector<WorkerOccupancy>& aOccupancy,
+              const std::vector<char>& aStopping,
+              const Job& aJob,
+              ReclaimReach aReach,
+              Instant aNow,
+              const std::vector<MemberPlace>& aPlaces)
+{
+  return ReclaimSearch(aLoad, aOccupancy, aStopping, aJob, aReach, aNow)
+    .PlanAt(aPlaces);
+}
+
+}
--- /dev/null
+++ b/zones/reclaim.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "core/instant.h"
+#include "zones/reclaim_plan.h"
+
+#include <optional>
+#include <vector>
+
+namespace sardinecourse {
+
+class DataCentreLoad;
+class Job;
+class WorkerOccupancy;
+
+/** Whose borrowed gangs a job may stop. */
+enum class ReclaimReach : std::uint8_t
+{
+  kNotUrgent,
+  kEveryBorrowed
+};
+
+/**
+ * The plans for the job, one a rack at most, those with the least lost work and
+ * the fewest victims first. aOccupancy is that of aLoad with what was decided
+ * since; gangs in aStopping cost nothing more.
+ */
+std::vector<ReclaimPlan>
+PlanReclaims(const DataCentreLoad& aLoad,
+             const std::vector<WorkerOccupancy>& aOccupancy,
+             const std::vector<char>& aStopping,
+             const Job& aJob,
+             ReclaimReach aReach,
+             Instant aNow);
+
+/** The plan for these places; empty when what stands there cannot be stopped.
+ */
+std::optional<ReclaimPlan>
+PlanReclaimAt(const DataCentreLoad& aLoad,
+              const std::vector<WorkerOccupancy>& aOccupancy,
+              const std::vector<char>& aStopping,
+              const Job& aJob,
+              ReclaimReach aReach,
+              Instant aNow,
+              const std::vector<MemberPlace>& aPlaces);
+
+}
--- /dev/null
+++ b/zones/running_gang.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "contracts/shape.h"
+#include "core/instant.h"
+#include "core/names.h"
+#include "zones/gang_placement.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace sardinecourse {
+
+/** A gang as the workers report it: its members in their places. */
+class RunningGang
+{
+public:
+  const TeamName& Team() const { return this->team; }
+  const JobKey& Key() const { return this->key; }
+  /** Where its members run. */
+  const GangPlacement& Placement() const { return this->placement; }
+  /** The shape it was started with. */
+  Shape GangShape() const { return this->gangShape; }
+  std::int32_t CoresPerMember() const { return this->coresPerMember; }
+  /** In MB. */
+  std::int32_t MemoryPerMember() const { return this->memoryPerMember; }
+  bool Urgent() const { return this->urgent; }
+  /** When all members were released. */
+  Instant Started() const { return this->started; }
+  /** Learned run time; zero when nothing like it has run. */
+  Milliseconds ExpectedRunTime() const { return this->expectedRunTime; }
+  /** What it did since then is lost when it is stopped. */
+  Instant LastCheckpoint() const { return this->lastCheckpoint; }
+
+  auto operator<=>(const RunningGang&) const = default;
+
+private:
+  friend class RunningGangBuilder;
+
+  TeamName team;
+  JobKey key;
+  GangPlacement placement;
+  Shape gangShape;
+  std::int32_t coresPerMember = 1;
+  std::int32_t memoryPerMember = 1024;
+  bool urgent = false;
+  Instant started;
+  Milliseconds expectedRunTime{ 0 };
+  Instant lastCheckpoint;
+};
+
+}
--- /dev/null
+++ b/zones/running_gang_builder.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "zones/running_gang.h"
+
+#include <optional>
+
+namespace sardinecourse {
+
+class Reason;
+
+/** Builds a RunningGang; Build() is empty, with the reason, when a field is
+ * missing or out of range. */
+class RunningGangBuilder
+{
+public:
+  RunningGangBuilder& Team(TeamName aTeam);
+  RunningGangBuilder& Key(JobKey aKey);
+  RunningGangBuilder& Placement(GangPlacement aPlacement);
+  RunningGangBuilder& GangShape(Shape aGangShape);
+  RunningGangBuilder& CoresPerMember(std::int32_t aCoresPerMember);
+  RunningGangBuilder& MemoryPerMember(std::int32_t aMemoryPerMember);
+  RunningGangBuilder& Urgent(bool aUrgent);
+  RunningGangBuilder& Started(Instant aStarted);
+  RunningGangBuilder& ExpectedRunTime(Milliseconds aExpectedRunTime);
+  RunningGangBuilder& LastCheckpoint(Instant aLastCheckpoint);
+  std::optional<RunningGang> Build(Reason& aReason) const;
+
+private:
+  RunningGang value;
+};
+
+}
