Add the settings tree: policies at four levels, checked strictly

Cause: fleet, data centre, team and service have to inherit policies. Change: a table of policy keys with defaults, bounds and lowest level (contracts/policy_key_traits.h); PolicyOverrides of one level and the resolved Policy with each value's origin; SettingsTree in the fleet. The reader refuses keys that stand twice, and names or addresses repeated in the fleet, and names the line of the key. docs/SETTINGS.md lists every key; a test compares it with the table.

--- a/codecs/fleet_yaml.cpp
+++ b/codecs/fleet_yaml.cpp
@@ -1,5 +1,7 @@
 #include "codecs/fleet_yaml.h"
 
+#include "codecs/policy_yaml.h"
+#include "codecs/unique_names.h"
 #include "codecs/yaml_document.h"
 #include "codecs/yaml_reader.h"
 #include "contracts/guarantee_builder.h"
@@ -10,6 +12,7 @@
 #include "machines/worker_builder.h"
 #include "zones/data_centre_builder.h"
 #include "zones/fleet_builder.h"
+#include "zones/settings_tree_builder.h"
 
 #include <yaml-cpp/yaml.h>
 
@@ -49,63 +52,152 @@
   aValues.push_back(*value);
 }
 
+/** Reads one fleet; what has to be unique is so in the whole of it. */
+class FleetReader
+{
+public:
+  std::vector<DataCentre> ReadDataCentres(YamlReader& aFleet);
+  std::optional<SettingsTree> Settings(Reason& aReason) const
+  {
+    return this->settings.Build(aReason);
+  }
+
+private:
+  void ReadDataCentre(const DataCentreName& aName, YamlReader& aReader);
+  std::vector<EntryHost> ReadEntryHosts(YamlReader& aReader);
+  std::vector<Worker> ReadRacks(YamlReader& aReader);
+  void ReadWorker(const RackName& aRack,
+                  const std::string& aName,
+                  YamlReader& aReader,
+                  std::vector<Worker>& aTo);
+  std::vector<Minion> ReadMinions(YamlReader& aReader);
+  std::vector<Team> ReadTeams(YamlReader& aReader);
+  std::vector<Guarantee> ReadGuarantees(YamlReader& aReader,
+                                        const TeamName& aTeam);
+  void ReadServices(YamlReader& aReader, const TeamName& aTeam);
+  void ReadSettings(YamlReader& aReader, const SettingsScope& aScope);
+  Endpoint ReadAddress(YamlReader& aReader, const std::string& aKey);
+
+  /** The data centre being read. */
+  DataCentreName dataCentre;
+  std::vector<DataCentre> dataCentres;
+  SettingsTreeBuilder settings;
+  UniqueNames addresses{ "address" };
+  UniqueNames hosts{ "entry host" };
+  UniqueNames workers{ "worker" };
+  UniqueNames minions{ "minion" };
+  /** Those of the data centre being read: a service has one team there. */
+  UniqueNames services{ "service" };
+};
+
+std::vector<DataCentre>
+FleetReader::ReadDataCentres(YamlReader& aFleet)
+{
+  this->ReadSettings(aFleet, {});
+  aFleet.Each("data_centres",
+              [this](const std::string& aName, YamlReader& aReader) {
+                this->ReadDataCentre(DataCentreName(aName), aReader);
+              });
+  return this->dataCentres;
+}
+
+void
+FleetReader::ReadDataCentre(const DataCentreName& aName, YamlReader& aReader)
+{
+  this->dataCentre = aName;
+  this->services = UniqueNames("service");
+  this->ReadSettings(aReader, { aName, {}, {} });
+  DataCentreBuilder builder;
+  builder.Name(aName).Region(aReader.Text("region", ""));
+  builder.EntryHosts(this->ReadEntryHosts(aReader));
+  builder.Workers(this->ReadRacks(aReader));
+  builder.Minions(this->ReadMinions(aReader));
+  builder.Teams(this->ReadTeams(aReader));
+  Keep(builder, aReader, this->dataCentres);
+}
+
 std::vector<EntryHost>
-ReadEntryHosts(YamlReader& aReader, const DataCentreName& aDataCentre)
+FleetReader::ReadEntryHosts(YamlReader& aReader)
 {
-  std::vector<EntryHost> hosts;
+  std::vector<EntryHost> entryHosts;
   aReader.Each("entry_hosts", [&](const std::string& aName, YamlReader& aHost) {
+    this->hosts.Claim(aName, "", aHost);
     EntryHostBuilder builder;
-    builder.Name(HostName(aName)).DataCentre(aDataCentre);
-    builder.Callers(aHost.Address("callers")).Peers(aHost.Address("peers"));
-    Keep(builder, aHost, hosts);
+    builder.Name(HostName(aName)).DataCentre(this->dataCentre);
+    builder.Callers(this->ReadAddress(aHost, "callers"));
+    builder.Peers(this->ReadAddress(aHost, "peers"));
+    Keep(builder, aHost, entryHosts);
   });
-  return hosts;
+  return entryHosts;
 }
 
 std::vector<Worker>
-ReadWorkers(YamlReader& aReader, const DataCentreName& aDataCentre)
+FleetReader::ReadRacks(YamlReader& aReader)
 {
-  std::vector<Worker> workers;
+  std::vector<Worker> read;
   aReader.Each("racks", [&](const std::string& aRack, YamlReader& aRackReader) {
-    aRackReader.Each(
-      "workers", [&](const std::string& aName, YamlReader& aWorker) {
-        WorkerBuilder builder;
-        builder.Name(WorkerName(aName))
-          .Rack(RackName(aRack))
-          .DataCentre(aDataCentre);
-        builder.Address(aWorker.Address("address"));
-        builder.Accelerators(
-          ReadInteger(aWorker, "accelerators", 0, kMostAcceleratorsPerWorker));
-        builder.Cores(ReadInteger(aWorker, "cores", 1, kMostCores));
-        builder.Memory(ReadInteger(aWorker, "memory_mb", 1, kMostMemoryMb));
-        Keep(builder, aWorker, workers);
-      });
+    aRackReader.Each("workers",
+                     [&](const std::string& aName, YamlReader& aWorker) {
+                       this->ReadWorker(RackName(aRack), aName, aWorker, read);
+                     });
   });
-  return workers;
+  return read;
+}
+
+void
+FleetReader::ReadWorker(const RackName& aRack,
+                        const std::string& aName,
+                        YamlReader& aReader,
+                        std::vector<Worker>& aTo)
+{
+  this->workers.Claim(aName, "", aReader);
+  WorkerBuilder builder;
+  builder.Name(WorkerName(aName)).Rack(aRack).DataCentre(this->dataCentre);
+  builder.Address(this->ReadAddress(aReader, "address"));
+  builder.Accelerators(
+    ReadInteger(aReader, "accelerators", 0, kMostAcceleratorsPerWorker));
+  builder.Cores(ReadInteger(aReader, "cores", 1, kMostCores));
+  builder.Memory(ReadInteger(aReader, "memory_mb", 1, kMostMemoryMb));
+  Keep(builder, aReader, aTo);
 }
 
 std::vector<Minion>
-ReadMinions(YamlReader& aReader, const DataCentreName& aDataCentre)
+FleetReader::ReadMinions(YamlReader& aReader)
 {
-  std::vector<Minion> minions;
+  std::vector<Minion> read;
   aReader.Each("minions", [&](const std::string& aName, YamlReader& aMinion) {
+    this->minions.Claim(aName, "", aMinion);
     MinionBuilder builder;
-    builder.Name(MinionName(aName)).DataCentre(aDataCentre);
+    builder.Name(MinionName(aName)).DataCentre(this->dataCentre);
     builder.Service(ServiceName(aMinion.Text("service")));
-    builder.Address(aMinion.Address("address"));
+    builder.Address(this->ReadAddress(aMinion, "address"));
     builder.Slots(static_cast<std::int32_t>(
       aMinion.Integer("slots", kDefaultSlots, 1, kMostSlots)));
     builder.Connections(static_cast<std::int32_t>(
       aMinion.Integer("connections", kDefaultConnections, 1, kMostSlots)));
-    Keep(builder, aMinion, minions);
+    Keep(builder, aMinion, read);
   });
-  return minions;
+  return read;
+}
+
+std::vector<Team>
+FleetReader::ReadTeams(YamlReader& aReader)
+{
+  std::vector<Team> teams;
+  aReader.Each("teams", [&](const std::string& aName, YamlReader& aTeam) {
+    const TeamName name(aName);
+    this->ReadSettings(aTeam, { this->dataCentre, name, {} });
+    this->ReadServices(aTeam, name);
+    TeamBuilder builder;
+    builder.Name(name).Quota(ReadInteger(aTeam, "quota", 0, kMostQuota));
+    builder.Guarantees(this->ReadGuarantees(aTeam, name));
+    Keep(builder, aTeam, teams);
+  });
+  return teams;
 }
 
 std::vector<Guarantee>
-ReadGuarantees(YamlReader& aReader,
-               const TeamName& aTeam,
-               const DataCentreName& aDataCentre)
+FleetReader::ReadGuarantees(YamlReader& aReader, const TeamName& aTeam)
 {
   std::vector<Guarantee> guarantees;
   aReader.EachItem("guarantees", [&](YamlReader& aItem) {
@@ -120,7 +212,7 @@
       return;
     }
     GuaranteeBuilder builder;
-    builder.Team(aTeam).DataCentre(aDataCentre).GangShape(*shape);
+    builder.Team(aTeam).DataCentre(this->dataCentre).GangShape(*shape);
     builder.Count(
       static_cast<std::int32_t>(aItem.Integer("count", 1, 1, kMostQuota)));
     Keep(builder, aItem, guarantees);
@@ -128,33 +220,30 @@
   return guarantees;
 }
 
-std::vector<Team>
-ReadTeams(YamlReader& aReader, const DataCentreName& aDataCentre)
+void
+FleetReader::ReadServices(YamlReader& aReader, const TeamName& aTeam)
 {
-  std::vector<Team> teams;
-  aReader.Each("teams", [&](const std::string& aName, YamlReader& aTeam) {
-    const TeamName name(aName);
-    TeamBuilder builder;
-    builder.Name(name).Quota(ReadInteger(aTeam, "quota", 0, kMostQuota));
-    builder.Guarantees(ReadGuarantees(aTeam, name, aDataCentre));
-    Keep(builder, aTeam, teams);
+  aReader.Each("services", [&](const std::string& aName, YamlReader& aService) {
+    this->services.Claim(aName, "", aService);
+    this->ReadSettings(aService,
+                       { this->dataCentre, aTeam, ServiceName(aName) });
   });
-  return teams;
 }
 
 void
-ReadDataCentre(const std::string& aName,
-               YamlReader& aReader,
-               std::vector<DataCentre>& aTo)
+FleetReader::ReadSettings(YamlReader& aReader, const SettingsScope& aScope)
 {
-  const DataCentreName name(aName);
-  DataCentreBuilder builder;
-  builder.Name(name).Region(aReader.Text("region", ""));
-  builder.EntryHosts(ReadEntryHosts(aReader, name));
-  builder.Workers(ReadWorkers(aReader, name));
-  builder.Minions(ReadMinions(aReader, name));
-  builder.Teams(ReadTeams(aReader, name));
-  Keep(builder, aReader, aTo);
+  this->settings.Scope(aScope, ReadPolicyOverrides(aReader, aScope.Level()));
+}
+
+Endpoint
+FleetReader::ReadAddress(YamlReader& aReader, const std::string& aKey)
+{
+  Endpoint address = aReader.Address(aKey);
+  if (!address.Ip().empty()) {
+    this->addresses.Claim(address.Text(), aKey, aReader);
+  }
+  return address;
 }
 
 }
@@ -170,17 +259,18 @@
     return std::nullopt;
   }
   YamlReader reader(*node, aFile, "fleet");
-  std::vector<DataCentre> dataCentres;
+  FleetReader fleetReader;
   FleetBuilder builder;
   builder.Name(FleetName(reader.Text("name"))).Revision(aRevision);
-  reader.Each("data_centres",
-              [&dataCentres](const std::string& aName, YamlReader& aReader) {
-                ReadDataCentre(aName, aReader, dataCentres);
-              });
+  builder.DataCentres(fleetReader.ReadDataCentres(reader));
   if (!reader.Finish(aReason)) {
     return std::nullopt;
   }
-  return builder.DataCentres(dataCentres).Build(aReason);
+  const std::optional<SettingsTree> settings = fleetReader.Settings(aReason);
+  if (!settings) {
+    return std::nullopt;
+  }
+  return builder.Settings(*settings).Build(aReason);
 }
 
 }
--- a/codecs/host_settings_yaml.cpp
+++ b/codecs/host_settings_yaml.cpp
@@ -2,6 +2,7 @@
 
 #include "codecs/yaml_document.h"
 #include "codecs/yaml_reader.h"
+#include "contracts/policy_key_traits.h"
 #include "machines/entry_host_builder.h"
 #include "machines/host_settings_builder.h"
 
@@ -31,6 +32,17 @@
   return host;
 }
 
+std::string
+ReadLogLevel(YamlReader& aReader)
+{
+  std::string level = aReader.Text("log_level", "INFO");
+  const auto& levels = TraitsOf(PolicyKey::kLogLevel).words;
+  if (std::find(levels.begin(), levels.end(), level) == levels.end()) {
+    aReader.Fail("log_level", "is not a level of the log");
+  }
+  return level;
+}
+
 bool
 HasDuplicate(std::vector<Endpoint> aEndpoints)
 {
@@ -71,7 +83,7 @@
   settings.Peers(peers);
   settings.Threads(static_cast<std::int32_t>(
     reader.Integer("threads", kDefaultThreads, 1, kMostThreads)));
-  settings.LogLevel(reader.Text("log_level", "INFO"));
+  settings.LogLevel(ReadLogLevel(reader));
   settings.LogFile(reader.Text("log_file", ""));
   if (!reader.Finish(aReason)) {
     return std::nullopt;
--- /dev/null
+++ b/codecs/policy_yaml.cpp
@@ -0,0 +1,66 @@
+#include "codecs/policy_yaml.h"
+
+#include "codecs/yaml_reader.h"
+#include "contracts/policy_key_traits.h"
+#include "contracts/policy_overrides_builder.h"
+
+#include <algorithm>
+
+namespace sardinecourse {
+
+namespace {
+
+std::int64_t
+ReadWord(YamlReader& aReader, const PolicyKeyTraits& aTraits)
+{
+  const std::string name(aTraits.name);
+  const std::string word = aReader.Text(name);
+  const auto found =
+    std::find(aTraits.words.begin(), aTraits.words.end(), word);
+  if (found != aTraits.words.end()) {
+    return found - aTraits.words.begin();
+  }
+  std::string known;
+  for (const std::string_view text : aTraits.words) {
+    known += known.empty() ? "" : ", ";
+    known += text;
+  }
+  aReader.Fail(name, "must be one of " + known);
+  return aTraits.initial;
+}
+
+std::int64_t
+ReadValue(YamlReader& aReader, const PolicyKeyTraits& aTraits)
+{
+  return aTraits.words.empty() ? aReader.Integer(std::string(aTraits.name),
+                                                 aTraits.least,
+                                                 aTraits.most)
+                               : ReadWord(aReader, aTraits);
+}
+
+}
+
+PolicyOverrides
+ReadPolicyOverrides(YamlReader& aReader, SettingsLevel aLevel)
+{
+  PolicyOverridesBuilder builder;
+  builder.Level(aLevel);
+  PolicyOverrides overrides;
+  aReader.Section("settings", [&](YamlReader& aSection) {
+    for (const PolicyKeyTraits& traits : AllPolicyKeys()) {
+      if (aSection.Has(std::string(traits.name))) {
+        builder.Value(traits.key, ReadValue(aSection, traits));
+      }
+    }
+    Reason reason;
+    const std::optional<PolicyOverrides> built = builder.Build(reason);
+    if (!built) {
+      aSection.Fail(reason.Peer(), reason.Text());
+      return;
+    }
+    overrides = *built;
+  });
+  return overrides;
+}
+
+}
--- /dev/null
+++ b/codecs/policy_yaml.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "contracts/settings_level.h"
+
+namespace sardinecourse {
+
+class PolicyOverrides;
+class YamlReader;
+
+/** Reads the mapping "settings", which may be absent, of one level; errors are
+ * recorded in the reader. */
+PolicyOverrides
+ReadPolicyOverrides(YamlReader& aReader, SettingsLevel aLevel);
+
+}
--- a/codecs/yaml_reader.cpp
+++ b/codecs/yaml_reader.cpp
@@ -14,6 +14,12 @@
   return aNode.Mark().line + 1;
 }
 
+bool
+Contains(const std::vector<std::string>& aKeys, const std::string& aKey)
+{
+  return std::find(aKeys.begin(), aKeys.end(), aKey) != aKeys.end();
+}
+
 }
 
 YamlReader::YamlReader(const YAML::Node& aNode,
@@ -22,6 +28,7 @@
   : node(std::make_unique<const YAML::Node>(aNode))
   , file(std::move(aFile))
   , path(std::move(aPath))
+  , line(LineOf(aNode))
 {
   if (!aNode.IsMap() && !aNode.IsNull()) {
     this->FailAt(LineOf(aNode), "", "must be a mapping");
@@ -57,7 +64,7 @@
     return aDefault;
   }
   if (!value.IsScalar()) {
-    this->FailAt(LineOf(value), aKey, "must be a text");
+    this->Fail(aKey, "must be a text");
     return aDefault;
   }
   return value.Scalar();
@@ -87,14 +94,13 @@
   std::int64_t number = 0;
   if (!value.IsScalar() ||
       !YAML::convert<std::int64_t>::decode(value, number)) {
-    this->FailAt(LineOf(value), aKey, "must be a whole number");
+    this->Fail(aKey, "must be a whole number");
     return aDefault;
   }
   if (number < aLeast || number > aMost) {
-    this->FailAt(LineOf(value),
-                 aKey,
-                 "must be from " + std::to_string(aLeast) + " to " +
-                   std::to_string(aMost));
+    this->Fail(aKey,
+               "must be from " + std::to_string(aLeast) + " to " +
+                 std::to_string(aMost));
     return aDefault;
   }
   return number;
@@ -122,7 +128,7 @@
     return endpoints;
   }
   if (!value.IsSequence()) {
-    this->FailAt(LineOf(value), aKey, "must be a sequence of IP:PORT");
+    this->Fail(aKey, "must be a sequence of IP:PORT");
     return endpoints;
   }
   for (const YAML::Node& item : value) {
@@ -148,14 +154,13 @@
     return;
   }
   if (!value.IsMap()) {
-    this->FailAt(LineOf(value), aKey, "must be a mapping of names");
+    this->Fail(aKey, "must be a mapping of names");
     return;
   }
   std::vector<std::string> names;
   for (const auto& entry : value) {
     const std::string name = entry.first.IsScalar() ? entry.first.Scalar() : "";
-    if (name.empty() ||
-        std::find(names.begin(), names.end(), name) != names.end()) {
+    if (name.empty() || Contains(names, name)) {
       this->FailAt(LineOf(entry.first),
                    aKey,
                    "name '" + name + "' is empty or stands twice");
@@ -164,6 +169,7 @@
     names.push_back(name);
     YamlReader child(
       entry.second, this->file, this->path + "." + aKey + "." + name);
+    child.line = LineOf(entry.first);
     aVisit(name, child);
     this->Adopt(child);
   }
@@ -178,7 +184,7 @@
     return;
   }
   if (!value.IsSequence()) {
-    this->FailAt(LineOf(value), aKey, "must be a sequence");
+    this->Fail(aKey, "must be a sequence");
     return;
   }
   for (const YAML::Node& item : value) {
@@ -188,6 +194,20 @@
   }
 }
 
+void
+YamlReader::Section(const std::string& aKey,
+                    const std::function<void(YamlReader&)>& aVisit)
+{
+  const YAML::Node value = this->Take(aKey);
+  if (!value.IsDefined() || value.IsNull()) {
+    return;
+  }
+  YamlReader child(value, this->file, this->path + "." + aKey);
+  child.line = this->LineOfKey(aKey);
+  aVisit(child);
+  this->Adopt(child);
+}
+
 bool
 YamlReader::Has(const std::string& aKey) const
 {
@@ -195,17 +215,24 @@
 }
 
 int
-YamlReader::Line() const
+YamlReader::LineOfKey(const std::string& aKey) const
 {
-  return LineOf(*this->node);
+  if (!this->node->IsMap()) {
+    return this->Line();
+  }
+  // An empty value has no line of its own, so the key's line is taken.
+  for (const auto& entry : *this->node) {
+    if (entry.first.IsScalar() && entry.first.Scalar() == aKey) {
+      return LineOf(entry.first);
+    }
+  }
+  return this->Line();
 }
 
 void
 YamlReader::Fail(const std::string& aKey, const std::string& aText)
 {
-  const bool isThere = this->Has(aKey);
-  this->FailAt(
-    isThere ? LineOf((*this->node)[aKey]) : this->Line(), aKey, aText);
+  this->FailAt(this->LineOfKey(aKey), aKey, aText);
 }
 
 void
@@ -229,19 +256,30 @@
   }
 }
 
-bool
-YamlReader::Finish(Reason& aReason)
+/** The library keeps both of two equal keys and shows the first. */
+void
+YamlReader::RefuseUnreadKeys()
 {
-  if (this->node->IsMap()) {
-    for (const auto& entry : *this->node) {
-      const std::string key =
-        entry.first.IsScalar() ? entry.first.Scalar() : "?";
-      if (std::find(this->read.begin(), this->read.end(), key) ==
-          this->read.end()) {
-        this->FailAt(LineOf(entry.first), key, "is not a known key");
-      }
+  if (!this->node->IsMap()) {
+    return;
+  }
+  std::vector<std::string> seen;
+  for (const auto& entry : *this->node) {
+    const std::string key = entry.first.IsScalar() ? entry.first.Scalar() : "?";
+    if (!Contains(this->read, key)) {
+      this->FailAt(LineOf(entry.first), key, "is not a known key");
+    }
+    if (Contains(seen, key)) {
+      this->FailAt(LineOf(entry.first), key, "stands twice");
     }
+    seen.push_back(key);
   }
+}
+
+bool
+YamlReader::Finish(Reason& aReason)
+{
+  this->RefuseUnreadKeys();
   if (this->error) {
     aReason = *this->error;
     return false;
--- a/codecs/yaml_reader.h
+++ b/codecs/yaml_reader.h
@@ -53,9 +53,15 @@
   void EachItem(const std::string& aKey,
                 const std::function<void(YamlReader&)>& aVisit);
 
+  /** Calls aVisit(reader) for the mapping under aKey, which may be absent. */
+  void Section(const std::string& aKey,
+               const std::function<void(YamlReader&)>& aVisit);
+
   bool Has(const std::string& aKey) const;
-  /** Line of the mapping, from 1. */
-  int Line() const;
+  /** Line where the mapping starts or is named, from 1. */
+  int Line() const { return this->line; }
+  /** Line of aKey, or else of the mapping. */
+  int LineOfKey(const std::string& aKey) const;
 
   /** Records an error at aKey, unless one is recorded already. */
   void Fail(const std::string& aKey, const std::string& aText);
@@ -65,12 +71,14 @@
 
 private:
   YAML::Node Take(const std::string& aKey);
+  void RefuseUnreadKeys();
   void FailAt(int aLine, const std::string& aKey, const std::string& aText);
   void Adopt(YamlReader& aChild);
 
   std::unique_ptr<const YAML::Node> node;
   std::string file;
   std::string path;
+  int line;
   std::vector<std::string> read;
   std::optional<Reason> error;
 };
--- a/links/platform_link.cpp
+++ b/links/platform_link.cpp
@@ -287,6 +287,10 @@
                    ExchangeProgress& aProgress,
                    Reason& aReason)
 {
+  if (this->endpoints.empty()) {
+    aReason = Reason(Step::kPlatformRead, "", "the settings name no platform");
+    co_return std::nullopt;
+  }
   const std::size_t first = this->preferred;
   const Instant deadline = Clock::now() + kCallBudget;
   for (std::size_t count = 0; count <= this->endpoints.size(); ++count) {
--- /dev/null
+++ b/tests/contracts/policy_key_traits_test.cpp
@@ -0,0 +1,60 @@
+#include "contracts/policy_key_traits.h"
+
+#include "contracts/policy.h"
+#include "contracts/policy_builder.h"
+#include "contracts/policy_overrides_builder.h"
+#include "core/reason.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <fstream>
+#include <sstream>
+
+namespace sardinecourse {
+
+class PolicyKeyTraitsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PolicyKeyTraitsTest);
+  CPPUNIT_TEST(StandInTheOrderOfTheirKeys);
+  CPPUNIT_TEST(DefaultsAreWithinBounds);
+  CPPUNIT_TEST(AreDocumented);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void StandInTheOrderOfTheirKeys()
+  {
+    for (const PolicyKeyTraits& traits : AllPolicyKeys()) {
+      CPPUNIT_ASSERT(&TraitsOf(traits.key) == &traits);
+    }
+  }
+
+  void DefaultsAreWithinBounds()
+  {
+    PolicyOverridesBuilder builder;
+    for (const PolicyKeyTraits& traits : AllPolicyKeys()) {
+      builder.Value(traits.key, traits.initial);
+    }
+    Reason reason;
+    CPPUNIT_ASSERT(builder.Build(reason).has_value());
+  }
+
+  void AreDocumented()
+  {
+    std::ifstream file(SARDINECOURSE_SOURCE_DIR "/docs/SETTINGS.md");
+    std::ostringstream page;
+    page << file.rdbuf();
+    for (const PolicyKeyTraits& traits : AllPolicyKeys()) {
+      if (traits.words.empty()) {
+        std::ostringstream row;
+        row << "| `" << traits.name << "` | " << traits.initial << " | "
+            << traits.least << " to " << traits.most << " | "
+            << SettingsLevelName(traits.lowest) << " |";
+        CPPUNIT_ASSERT_MESSAGE(row.str(),
+                               page.str().find(row.str()) != std::string::npos);
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PolicyKeyTraitsTest);
+
+}
--- a/zones/fleet.h
+++ b/zones/fleet.h
@@ -2,6 +2,7 @@
 
 #include "core/names.h"
 #include "zones/data_centre.h"
+#include "zones/settings_tree.h"
 
 #include <compare>
 #include <cstdint>
@@ -21,6 +22,9 @@
     return this->dataCentres;
   }
 
+  /** The policies of the fleet, its data centres, teams and services. */
+  const SettingsTree& Settings() const { return this->settings; }
+
   auto operator<=>(const Fleet&) const = default;
 
 private:
@@ -29,6 +33,7 @@
   FleetName name;
   std::int64_t revision = 0;
   std::vector<DataCentre> dataCentres;
+  SettingsTree settings;
 };
 
 }
--- a/zones/fleet_builder.cpp
+++ b/zones/fleet_builder.cpp
@@ -27,6 +27,13 @@
   return *this;
 }
 
+FleetBuilder&
+FleetBuilder::Settings(SettingsTree aSettings)
+{
+  this->value.settings = std::move(aSettings);
+  return *this;
+}
+
 std::optional<Fleet>
 FleetBuilder::Build(Reason& aReason) const
 {
--- a/zones/fleet_builder.h
+++ b/zones/fleet_builder.h
@@ -16,6 +16,7 @@
   FleetBuilder& Name(FleetName aName);
   FleetBuilder& Revision(std::int64_t aRevision);
   FleetBuilder& DataCentres(std::vector<DataCentre> aDataCentres);
+  FleetBuilder& Settings(SettingsTree aSettings);
   std::optional<Fleet> Build(Reason& aReason) const;
 
 private:
