--- /dev/null
+++ b/codecs/job_json.cpp
@@ -0,0 +1,223 @@
+#include "codecs/job_json.h"
+
+#include "codecs/json_fields.h"
+#include "contracts/job_builder.h"
+#include "contracts/job_record_builder.h"
+#include "contracts/ownership_builder.h"
+#include "contracts/shape_builder.h"
+#include "core/reason.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace sardinecourse {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<std::pair<JobState, std::string_view>, 5> kStates{
+  { { JobState::kAdmitted, "admitted" },
+    { JobState::kRunning, "running" },
+    { JobState::kFinished, "finished" },
+    { JobState::kFailed, "failed" },
+    { JobState::kCancelled, "cancelled" } }
+};
+
+constexpr std::array<std::string_view, 9> kJobKeys{
+  "team",  "service",   "key",         "members", "accelerators",
+  "cores", "memory_mb", "run_time_ms", "urgent"
+};
+
+std::optional<JobState>
+ParseState(const std::string& aName)
+{
+  const auto* const found =
+    std::find_if(kStates.begin(), kStates.end(), [&aName](const auto& aPair) {
+      return aPair.second == aName;
+    });
+  if (found == kStates.end()) {
+    return std::nullopt;
+  }
+  return found->first;
+}
+
+json
+JobObject(const Job& aJob)
+{
+  return { { "team", aJob.Team().Text() },
+           { "service", aJob.Service().Text() },
+           { "key", aJob.Key().Text() },
+           { "members", aJob.GangShape().Members() },
+           { "accelerators", aJob.GangShape().AcceleratorsPerMember() },
+           { "cores", aJob.CoresPerMember() },
+           { "memory_mb", aJob.MemoryPerMember() },
+           { "run_time_ms", aJob.DeclaredRunTime().count() },
+           { "urgent", aJob.Urgent() } };
+}
+
+/** A key that is misspelt would otherwise be taken for its default. */
+bool
+HasOnlyKnownKeys(const json& aObject, Reason& aReason)
+{
+  for (const auto& entry : aObject.items()) {
+    if (std::find(kJobKeys.begin(), kJobKeys.end(), entry.key()) ==
+        kJobKeys.end()) {
+      aReason =
+        Reason(Step::kDecode, "", "a job has no key '" + entry.key() + "'");
+      return false;
+    }
+  }
+  return true;
+}
+
+std::optional<Job>
+ReadJob(const json& aObject, Reason& aReason)
+{
+  const auto shape =
+    ShapeBuilder()
+      .Members(SmallIntegerField(aObject, "members", 1))
+      .AcceleratorsPerMember(SmallIntegerField(aObject, "accelerators", 1))
+      .Build(aReason);
+  if (!shape) {
+    return std::nullopt;
+  }
+  JobBuilder builder;
+  builder.Team(TeamName(TextField(aObject, "team")))
+    .Service(ServiceName(TextField(aObject, "service")))
+    .Key(JobKey(TextField(aObject, "key")))
+    .GangShape(*shape);
+  builder.CoresPerMember(SmallIntegerField(aObject, "cores", 1))
+    .MemoryPerMember(SmallIntegerField(aObject, "memory_mb", 1024))
+    .DeclaredRunTime(Milliseconds(IntegerField(aObject, "run_time_ms")))
+    .Urgent(BooleanField(aObject, "urgent"));
+  return builder.Build(aReason);
+}
+
+json
+RecordObject(const JobRecord& aRecord)
+{
+  json object = JobObject(aRecord.Request());
+  object["state"] = JobStateName(aRecord.State());
+  object["data_centre"] = aRecord.DataCentre().Text();
+  object["attempts"] = aRecord.Attempts();
+  object["saved_ms"] = aRecord.Saved().count();
+  object["detail"] = aRecord.Detail();
+  return object;
+}
+
+}
+
+std::string_view
+JobStateName(JobState aState)
+{
+  const auto* const found =
+    std::find_if(kStates.begin(), kStates.end(), [aState](const auto& aPair) {
+      return aPair.first == aState;
+    });
+  return found->second;
+}
+
+std::optional<Job>
+DecodeJob(const std::string& aText, Reason& aReason)
+{
+  const std::optional<json> object = ParseJsonObject(aText);
+  if (!object) {
+    aReason = Reason(Step::kDecode, "", "a job must be a JSON object");
+    return std::nullopt;
+  }
+  if (!HasOnlyKnownKeys(*object, aReason)) {
+    return std::nullopt;
+  }
+  return ReadJob(*object, aReason);
+}
+
+std::string
+EncodeJob(const Job& aJob)
+{
+  return JobObject(aJob).dump();
+}
+
+std::string
+EncodeJobRecord(const JobRecord& aRecord)
+{
+  return RecordObject(aRecord).dump();
+}
+
+std::optional<JobRecord>
+DecodeJobRecord(const std::string& aText, Reason& aReason)
+{
+  const std::optional<json> object = ParseJsonObject(aText);
+  const std::optional<Job> job =
+    object ? ReadJob(*object, aReason) : std::nullopt;
+  if (!job) {
+    aReason = Reason(Step::kDecode, "", "a job's record cannot be read");
+    return std::nullopt;
+  }
+  const std::optional<JobState> state = ParseState(TextField(*object, "state"));
+  if (!state) {
+    aReason =
+      Reason(Step::kDecode, job->Key().Text(), "a job's state is not known");
+    return std::nullopt;
+  }
+  return JobRecordBuilder()
+    .Request(*job)
+    .State(*state)
+    .DataCentre(DataCentreName(TextField(*object, "data_centre")))
+    .Attempts(IntegerField(*object, "attempts"))
+    .Saved(Milliseconds(IntegerField(*object, "saved_ms")))
+    .Detail(TextField(*object, "detail"))
+    .Build(aReason);
+}
+
+std::string
+EncodeJobRecords(const std::vector<JobRecord>& aRecords)
+{
+  json array = json::array();
+  for (const JobRecord& record : aRecords) {
+    array.push_back(RecordObject(record));
+  }
+  return array.dump();
+}
+
+std::string
+EncodeOwnership(const Ownership& aOwnership)
+{
+  json electorate = json::array();
+  for (const HostName& host : aOwnership.Electorate()) {
+    electorate.push_back(host.Text());
+  }
+  const json object = { { "host", aOwnership.Host().Text() },
+                        { "term", aOwnership.Term() },
+                        { "lease_ms", aOwnership.Lease().count() },
+                        { "renewal", aOwnership.Renewal() },
+                        { "electorate", electorate } };
+  return object.dump();
+}
+
+std::optional<Ownership>
+DecodeOwnership(const std::string& aText, Reason& aReason)
+{
+  const std::optional<json> object = ParseJsonObject(aText);
+  if (!object) {
+    aReason = Reason(Step::kDecode, "", "an ownership must be a JSON object");
+    return std::nullopt;
+  }
+  std::vector<HostName> electorate;
+  const json hosts = object->value("electorate", json::array());
+  for (const json& host : hosts) {
+    if (host.is_string()) {
+      electorate.emplace_back(host.get<std::string>());
+    }
+  }
+  return OwnershipBuilder()
+    .Host(HostName(TextField(*object, "host")))
+    .Term(IntegerField(*object, "term"))
+    .Lease(Milliseconds(IntegerField(*object, "lease_ms")))
+    .Renewal(IntegerField(*object, "renewal"))
+    .Electorate(electorate)
+    .Build(aReason);
+}
+
+}
