--- a/codecs/job_json.cpp
+++ b/codecs/job_json.cpp
@@ -136,13 +136,13 @@
 std::string
 EncodeJob(const Job& aJob)
 {
-  return JobObject(aJob).dump();
+  return JsonText(JobObject(aJob));
 }
 
 std::string
 EncodeJobRecord(const JobRecord& aRecord)
 {
-  return RecordObject(aRecord).dump();
+  return JsonText(RecordObject(aRecord));
 }
 
 std::optional<JobRecord>
@@ -178,7 +178,7 @@
   for (const JobRecord& record : aRecords) {
     array.push_back(RecordObject(record));
   }
-  return array.dump();
+  return JsonText(array);
 }
 
 std::string
@@ -193,7 +193,7 @@
                         { "lease_ms", aOwnership.Lease().count() },
                         { "renewal", aOwnership.Renewal() },
                         { "electorate", electorate } };
-  return object.dump();
+  return JsonText(object);
 }
 
 std::optional<Ownership>
--- a/codecs/json_fields.cpp
+++ b/codecs/json_fields.cpp
@@ -15,6 +15,12 @@
   return object;
 }
 
+std::string
+JsonText(const nlohmann::json& aValue)
+{
+  return aValue.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::string
 TextField(const nlohmann::json& aObject,
           const char* aKey,
--- a/codecs/json_fields.h
+++ b/codecs/json_fields.h
@@ -11,6 +11,11 @@
 std::optional<nlohmann::json>
 ParseJsonObject(const std::string& aText);
 
+/** The text of a value. Bytes that are not UTF-8 are replaced, since the
+ * library would throw at them. */
+std::string
+JsonText(const nlohmann::json& aValue);
+
 /** A text field; the default when it is absent or of another type. */
 std::string
 TextField(const nlohmann::json& aObject,
--- a/codecs/worker_json.cpp
+++ b/codecs/worker_json.cpp
@@ -113,7 +113,7 @@
 std::string
 EncodeTask(const Task& aTask)
 {
-  return TaskObject(aTask).dump();
+  return JsonText(TaskObject(aTask));
 }
 
 std::optional<Task>
@@ -146,7 +146,7 @@
     object["tasks"] = std::move(tasks);
     object["gone"] = std::move(gone);
   }
-  return object.dump();
+  return JsonText(object);
 }
 
 std::optional<TaskList>
@@ -188,7 +188,7 @@
 {
   const json object = { { "lease_ms", aLease.count() },
                         { "version", aVersion } };
-  return object.dump();
+  return JsonText(object);
 }
 
 std::optional<Milliseconds>
--- a/links/http_worker_link.cpp
+++ b/links/http_worker_link.cpp
@@ -50,7 +50,7 @@
 {
   HttpRequest request =
     Post("/leases", EncodeTaskLeaseRenewal(aLease, aVersion));
-  const Endpoint address = aWorker.Address();
+  const Endpoint& address = aWorker.Address();
   ExchangeProgress progress = ExchangeProgress::kNotSent;
   const std::optional<HttpAnswer> answer = co_await this->Call(
     address, std::move(request), this->commandTimeout, progress, aReason);
@@ -64,7 +64,7 @@
 HttpWorkerLink::Start(const Worker& aWorker, const Task& aTask, Reason& aReason)
 {
   HttpRequest request = Post("/tasks", EncodeTask(aTask));
-  const Endpoint address = aWorker.Address();
+  const Endpoint& address = aWorker.Address();
   const CommandOutcome outcome =
     co_await this->Command(address, std::move(request), aReason);
   co_return outcome;
@@ -76,7 +76,7 @@
                         Reason& aReason)
 {
   HttpRequest request = Post(TaskTarget(aName, "release"), "");
-  const Endpoint address = aWorker.Address();
+  const Endpoint& address = aWorker.Address();
   const CommandOutcome outcome =
     co_await this->Command(address, std::move(request), aReason);
   co_return outcome;
@@ -88,7 +88,7 @@
                      Reason& aReason)
 {
   HttpRequest request = Post(TaskTarget(aName, "stop"), "");
-  const Endpoint address = aWorker.Address();
+  const Endpoint& address = aWorker.Address();
   const CommandOutcome outcome =
     co_await this->Command(address, std::move(request), aReason);
   co_return outcome;
@@ -101,7 +101,7 @@
                            Reason& aReason)
 {
   HttpRequest request = Post(TaskTarget(aName, "checkpoint"), "");
-  const Endpoint address = aWorker.Address();
+  const Endpoint& address = aWorker.Address();
   ExchangeProgress progress = ExchangeProgress::kNotSent;
   const std::optional<HttpAnswer> answer =
     co_await this->Call(address, std::move(request), aGrace, progress, aReason);
