Forward requests with outcomes, retries, kept connections and claims

Cause: a request took one connection each, was tried once, and a failure was always told as not-known.

Change: pure decisions for retry (zones/retry_decision), claim (zones/claim_decision), shedding and slot shares; routing by two choices ranked by requests in flight and recent latency, with unknown latency kept out of the ranking, spill and bounded ejection. links/minion_link keeps connections, proves idle ones by a probe, and reuses one only after a whole answer that names its request. The planned stop turns readiness off, lets connections close after their answers, and exits after the last. Log lines are written by a thread of their own; figures are at /metrics.

--- a/codecs/refusal.cpp
+++ b/codecs/refusal.cpp
@@ -13,7 +13,8 @@
                                 { "step", StepName(aReason.At()) },
                                 { "peer", aReason.Peer() },
                                 { "reason", aReason.Text() } };
-  return body.dump();
+  // What a peer or caller sent may hold bytes that are no UTF-8.
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }
--- a/core/step.cpp
+++ b/core/step.cpp
@@ -16,6 +16,8 @@
       return "decode";
     case Step::kAdmission:
       return "admission";
+    case Step::kClaim:
+      return "claim";
     case Step::kRouting:
       return "routing";
     case Step::kUpstreamConnect:
--- a/core/step.h
+++ b/core/step.h
@@ -14,6 +14,7 @@
   kSettings,
   kDecode,
   kAdmission,
+  kClaim,
   kRouting,
   kUpstreamConnect,
   kUpstreamSend,
--- /dev/null
+++ b/daemon/claim_desk.cpp
@@ -0,0 +1,66 @@
+#include "daemon/claim_desk.h"
+
+#include "contracts/claim.h"
+#include "daemon/claim_keeper.h"
+#include "links/platform_link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace sardinecourse {
+
+struct ClaimDesk::Control
+{
+  Control(boost::asio::io_context& aContext,
+          const std::vector<Endpoint>& aPlatform)
+    : platform(aContext, aPlatform)
+    , keeper(aContext, this->platform)
+  {
+  }
+  PlatformLink platform;
+  ClaimKeeper<PlatformLink> keeper;
+};
+
+ClaimDesk::ClaimDesk(boost::asio::io_context& aControl,
+                     const std::vector<Endpoint>& aPlatform)
+  : context(&aControl)
+  , control(std::make_unique<Control>(aControl, aPlatform))
+{
+}
+
+ClaimDesk::~ClaimDesk() = default;
+
+boost::asio::awaitable<ClaimAnswer>
+ClaimDesk::Take(Request aRequest)
+{
+  // The coroutine runs on the control thread; its result comes back to the
+  // executor of the one that waits here.
+  boost::asio::awaitable<ClaimAnswer> taking =
+    this->control->keeper.Take(std::move(aRequest));
+  ClaimAnswer answer = co_await boost::asio::co_spawn(
+    *this->context, std::move(taking), boost::asio::use_awaitable);
+  co_return answer;
+}
+
+void
+ClaimDesk::Settle(Request aRequest, Claim aClaim)
+{
+  boost::asio::post(
+    *this->context,
+    [this, request = std::move(aRequest), claim = std::move(aClaim)] {
+      this->control->keeper.Settle(request, claim);
+    });
+}
+
+void
+ClaimDesk::Release(Request aRequest)
+{
+  boost::asio::post(*this->context, [this, request = std::move(aRequest)] {
+    this->control->keeper.Release(request);
+  });
+}
+
+}
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -3,11 +3,11 @@
 #include "core/rcu_thread.h"
 #include "core/reason.h"
 #include "daemon/serving_thread.h"
-#include "machines/minion_slot.h"
 #include "zones/fleet.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <log4cplus/logger.h>
@@ -16,10 +16,23 @@
 
 namespace sardinecourse {
 
+namespace {
+
+/** Time for the balancer to see that this host is no longer ready. */
+constexpr Milliseconds kReadinessGrace{ 2000 };
+constexpr Milliseconds kSettleGrace{ 1000 };
+
+}
+
 Daemon::Daemon(HostSettings aSettings)
   : settings(std::move(aSettings))
   , control(1)
-  , minions(std::make_unique<const MinionTable>())
+  , controlWork(this->control.get_executor())
+  , stopTimer(this->control)
+  , minions(this->settings.Host().DataCentre())
+  , requests(this->settings.Host().Name(),
+             this->control,
+             this->settings.Platform())
 {
 }
 
@@ -48,38 +61,71 @@
 void
 Daemon::Adopt(const Fleet& aFleet)
 {
-  MinionTable::Slots slots;
-  for (const DataCentre& dataCentre : aFleet.DataCentres()) {
-    if (dataCentre.Name() != this->settings.Host().DataCentre()) {
-      continue;
-    }
-    for (const Minion& minion : dataCentre.Minions()) {
-      slots.push_back(std::make_shared<MinionSlot>(minion));
-    }
-  }
-  this->minions.Publish(std::make_unique<const MinionTable>(slots));
+  this->requests.minions.Publish(this->minions.Adopt(aFleet));
+  this->requests.readiness.SettingsInForce();
 }
 
 bool
 Daemon::StartServing(Reason& aReason)
 {
   for (std::int32_t count = 0; count < this->settings.Threads(); ++count) {
-    auto thread = std::make_unique<ServingThread>(this->minions);
-    if (!thread->Start(this->settings.Host().Callers(), aReason)) {
+    auto thread = std::make_unique<ServingThread>(this->requests,
+                                                  this->routingLog.AddBuffer());
+    const auto ended = [this] {
+      boost::asio::post(this->control, [this] { this->ServingEnded(); });
+    };
+    if (!thread->Start(this->settings.Host().Callers(), ended, aReason)) {
       return false;
     }
     this->serving.push_back(std::move(thread));
   }
+  this->routingLog.Start();
   return true;
 }
 
 void
 Daemon::Stop()
 {
-  LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"), "planned stop");
+  LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"),
+                 "planned_stop step=readiness_off");
+  this->requests.readiness.StartDraining();
+  for (const std::unique_ptr<ServingThread>& thread : this->serving) {
+    thread->CloseAfterAnswers();
+  }
+  this->stopTimer.expires_after(kReadinessGrace);
+  this->stopTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      this->DrainServing();
+    }
+  });
+}
+
+void
+Daemon::DrainServing()
+{
+  LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"),
+                 "planned_stop step=drain");
   for (const std::unique_ptr<ServingThread>& thread : this->serving) {
     thread->Drain();
   }
 }
 
+void
+Daemon::ServingEnded()
+{
+  ++this->servingEnded;
+  if (this->servingEnded < this->serving.size()) {
+    return;
+  }
+  // What became of the last requests is still on its way to the table.
+  this->stopTimer.expires_after(kSettleGrace);
+  this->stopTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"),
+                     "planned_stop step=done");
+      this->control.stop();
+    }
+  });
+}
+
 }
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -1,10 +1,13 @@
 #pragma once
 
-#include "core/snapshot.h"
+#include "daemon/minion_registry.h"
+#include "daemon/request_context.h"
+#include "daemon/routing_log.h"
 #include "machines/host_settings.h"
-#include "zones/minion_table.h"
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <vector>
 
@@ -37,12 +40,21 @@
 
 private:
   bool StartServing(Reason& aReason);
+  /** Turns readiness off, then drains, then ends the control loop. */
   void Stop();
+  void DrainServing();
+  void ServingEnded();
 
   HostSettings settings;
   boost::asio::io_context control;
-  Snapshot<MinionTable> minions;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+    controlWork;
+  boost::asio::steady_timer stopTimer;
+  MinionRegistry minions;
+  RequestContext requests;
+  RoutingLog routingLog;
   std::vector<std::unique_ptr<ServingThread>> serving;
+  std::size_t servingEnded = 0;
 };
 
 }
--- a/daemon/front_end.h
+++ b/daemon/front_end.h
@@ -1,32 +1,35 @@
 #pragma once
 
-#include "core/snapshot.h"
+#include "daemon/service_requests.h"
 #include "links/http_answer.h"
 #include "links/http_request.h"
-#include "zones/minion_table.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <random>
 
 namespace sardinecourse {
 
-/** Serves callers in one thread: routes each request to a minion and returns
- * its whole answer. */
+class RoutingLogBuffer;
+struct RequestContext;
+
+/** Serves callers in one thread: finds the part that a request is for. */
 class FrontEnd
 {
 public:
   FrontEnd(boost::asio::io_context& aContext,
-           const Snapshot<MinionTable>& aMinions);
+           RequestContext& aShared,
+           RoutingLogBuffer& aLog);
 
   boost::asio::awaitable<HttpAnswer> Handle(HttpRequest aRequest);
 
+  ServiceRequests& Services() { return this->services; }
+
 private:
-  boost::asio::awaitable<HttpAnswer> Forward(const HttpRequest& aRequest);
+  HttpAnswer Ready() const;
+  HttpAnswer Metrics() const;
 
-  boost::asio::io_context* context;
-  const Snapshot<MinionTable>* minions;
-  std::mt19937_64 random;
+  RequestContext* shared;
+  ServiceRequests services;
 };
 
 }
--- /dev/null
+++ b/daemon/request_forwarder.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "contracts/attempt_end.h"
+#include "core/snapshot.h"
+#include "daemon/forward_result.h"
+#include "daemon/slot_queue.h"
+#include "links/http_request.h"
+#include "links/minion_links.h"
+#include "zones/minion_table.h"
+#include "zones/retry_budget.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+namespace sardinecourse {
+
+class Request;
+class RequestMetrics;
+class RequestProgress;
+class RoutingLogBuffer;
+struct RoutedMinion;
+
+/** Has minions run the requests of one thread: joins the decisions to the
+ * links. */
+class RequestForwarder
+{
+public:
+  RequestForwarder(boost::asio::io_context& aContext,
+                   const Snapshot<MinionTable>& aMinions,
+                   RequestMetrics& aMetrics,
+                   RoutingLogBuffer& aLog);
+
+  /** Tries minions until one answers, or nothing more may be tried. */
+  boost::asio::awaitable<ForwardResult> Forward(Request aRequest,
+                                                HttpRequest aMessage);
+
+  /** Closes connections that were not used for a while. */
+  void CloseIdle() { this->links.CloseIdle(Clock::now()); }
+  void CloseAll() { this->links.CloseAll(); }
+
+private:
+  /** One service as this thread sees it. */
+  struct ServiceState
+  {
+    explicit ServiceState(boost::asio::io_context& aContext)
+      : queue(aContext)
+    {
+    }
+    SlotQueue queue;
+    /** Smoothed time to an answer; zero while it is not known. */
+    std::chrono::microseconds latency{ 0 };
+  };
+
+  boost::asio::awaitable<std::optional<RoutedMinion>>
+  TakeSlot(Request aRequest, const MinionSlot* aAvoided, Reason& aReason);
+  boost::asio::awaitable<std::optional<HttpAnswer>> Attempt(
+    Request aRequest,
+    std::shared_ptr<MinionSlot> aSlot,
+    HttpRequest& aMessage,
+    Instant aDeadline,
+    AttemptEnd& aEnd,
+    Reason& aReason);
+  std::optional<RoutedMinion> TryRoute(const Request& aRequest,
+                                       const MinionSlot* aAvoided,
+                                       Reason& aReason);
+  bool Serves(const ServiceName& aService) const;
+  bool Admits(const Request& aRequest,
+              const ServiceState& aState,
+              Reason& aReason);
+  ServiceState& StateOf(const ServiceName& aService);
+  void Learn(ServiceState& aState, std::chrono::microseconds aLatency);
+  void Log(const Request& aRequest,
+           const RequestProgress& aProgress,
+           const std::optional<RoutedMinion>& aRouted,
+           const Reason& aReason);
+
+  boost::asio::io_context* context;
+  const Snapshot<MinionTable>* minions;
+  RequestMetrics* metrics;
+  RoutingLogBuffer* log;
+  MinionLinks links;
+  RetryBudget budget;
+  std::unordered_map<ServiceName, ServiceState> services;
+  std::mt19937_64 random;
+};
+
+}
--- a/daemon/serving_thread.cpp
+++ b/daemon/serving_thread.cpp
@@ -1,16 +1,25 @@
 #include "daemon/serving_thread.h"
 
 #include "core/rcu_thread.h"
+#include "daemon/request_context.h"
 
 #include <boost/asio/post.hpp>
+#include <utility>
 
 namespace sardinecourse {
 
-ServingThread::ServingThread(const Snapshot<MinionTable>& aMinions)
+namespace {
+
+constexpr std::chrono::seconds kTidyInterval{ 5 };
+
+}
+
+ServingThread::ServingThread(RequestContext& aShared, RoutingLogBuffer& aLog)
   : context(1)
   , work(this->context.get_executor())
-  , frontEnd(this->context, aMinions)
+  , frontEnd(this->context, aShared, aLog)
   , server(this->context, this->frontEnd)
+  , tidyTimer(this->context)
 {
 }
 
@@ -21,20 +30,32 @@
 }
 
 bool
-ServingThread::Start(const Endpoint& aEndpoint, Reason& aReason)
+ServingThread::Start(const Endpoint& aEndpoint,
+                     std::function<void()> aEnded,
+                     Reason& aReason)
 {
+  this->ended = std::move(aEnded);
   if (!this->server.Listen(aEndpoint, aReason)) {
     return false;
   }
+  this->TidyLater();
   this->thread = std::thread([this] { this->Run(); });
   return true;
 }
 
+void
+ServingThread::CloseAfterAnswers()
+{
+  boost::asio::post(this->context,
+                    [this] { this->server.CloseAfterAnswers(); });
+}
+
 void
 ServingThread::Drain()
 {
   boost::asio::post(this->context, [this] {
     this->server.Drain();
+    this->tidyTimer.cancel();
     this->work.reset();
   });
 }
@@ -52,6 +73,20 @@
 {
   const RcuThread rcuThread;
   this->context.run();
+  this->frontEnd.Services().CloseAll();
+  this->ended();
+}
+
+void
+ServingThread::TidyLater()
+{
+  this->tidyTimer.expires_after(kTidyInterval);
+  this->tidyTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      this->frontEnd.Services().CloseIdle();
+      this->TidyLater();
+    }
+  });
 }
 
 }
--- /dev/null
+++ b/links/caller_protocol.cpp
@@ -0,0 +1,161 @@
+#include "links/caller_protocol.h"
+
+#include "contracts/request_builder.h"
+#include "core/reason.h"
+#include "links/http_request.h"
+#include "links/minion_protocol.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <boost/uuid/name_generator_sha1.hpp>
+#include <boost/uuid/uuid_io.hpp>
+#include <charconv>
+#include <utility>
+
+namespace sardinecourse {
+
+namespace {
+
+constexpr std::string_view kServicePrefix = "/services/";
+constexpr std::string_view kTeamField = "Sardinecourse-Team";
+constexpr std::string_view kIdempotentField = "Sardinecourse-Idempotent";
+constexpr std::string_view kKeyField = "Idempotency-Key";
+constexpr Milliseconds kDefaultDeadline{ 30'000 };
+constexpr Milliseconds kMostDeadline{ 60'000 };
+
+constexpr std::array<std::string_view, 9> kMethods{
+  "GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH", "QUERY", "REPORT"
+};
+constexpr std::array<std::string_view, 7> kIdempotentMethods{
+  "GET", "HEAD", "OPTIONS", "PUT", "DELETE", "QUERY", "REPORT"
+};
+/** Fields that end here: they speak to this host, or are set anew. */
+constexpr std::array<std::string_view, 5> kOwnFields{ kRequestIdentityField,
+                                                      kDeadlineField,
+                                                      kMinionNameField,
+                                                      kOutcomeField,
+                                                      "Host" };
+
+template<typename List>
+bool
+Holds(const List& aList, std::string_view aText)
+{
+  return std::find(aList.begin(), aList.end(), aText) != aList.end();
+}
+
+bool
+IsOwnField(std::string_view aName)
+{
+  return std::any_of(
+    kOwnFields.begin(), kOwnFields.end(), [aName](std::string_view aOwn) {
+      return boost::beast::iequals({ aOwn.data(), aOwn.size() },
+                                   { aName.data(), aName.size() });
+    });
+}
+
+std::string_view
+AfterPrefix(const HttpRequest& aMessage)
+{
+  return std::string_view(aMessage.target).substr(kServicePrefix.size());
+}
+
+std::optional<Milliseconds>
+ReadTimeLeft(const HttpRequest& aMessage, Reason& aReason)
+{
+  const std::string_view text = aMessage.fields.Find(kDeadlineField);
+  if (text.empty()) {
+    return kDefaultDeadline;
+  }
+  std::int64_t milliseconds = 0;
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+  if (error != std::errc() || end != text.data() + text.size() ||
+      milliseconds < 1) {
+    aReason = Reason(Step::kDecode,
+                     std::string(text),
+                     "Sardinecourse-Deadline-Ms must be a positive whole "
+                     "number of milliseconds");
+    return std::nullopt;
+  }
+  return std::min(Milliseconds(milliseconds), kMostDeadline);
+}
+
+std::optional<bool>
+ReadIdempotent(const HttpRequest& aMessage, Reason& aReason)
+{
+  const std::string_view mark = aMessage.fields.Find(kIdempotentField);
+  if (mark.empty()) {
+    return Holds(kIdempotentMethods, aMessage.method);
+  }
+  if (mark != "true" && mark != "false") {
+    aReason = Reason(Step::kDecode,
+                     std::string(mark),
+                     "Sardinecourse-Idempotent must be true or false");
+    return std::nullopt;
+  }
+  return mark == "true";
+}
+
+std::string
+FingerprintOf(const HttpRequest& aMessage)
+{
+  const boost::uuids::name_generator_sha1 generate(boost::uuids::ns::oid());
+  const std::string content =
+    aMessage.method + '\n' + aMessage.target + '\n' + aMessage.body;
+  return boost::uuids::to_string(generate(content));
+}
+
+}
+
+std::optional<Request>
+ReadCallerRequest(const HttpRequest& aMessage,
+                  std::string aIdentity,
+                  Instant aNow,
+                  Reason& aReason)
+{
+  if (!Holds(kMethods, aMessage.method)) {
+    aReason =
+      Reason(Step::kDecode, aMessage.method, "this method is not forwarded");
+    return std::nullopt;
+  }
+  const std::string_view rest = AfterPrefix(aMessage);
+  const std::optional<Milliseconds> timeLeft = ReadTimeLeft(aMessage, aReason);
+  const std::optional<bool> idempotent = ReadIdempotent(aMessage, aReason);
+  if (!timeLeft || !idempotent) {
+    return std::nullopt;
+  }
+  RequestBuilder builder;
+  builder.Identity(std::move(aIdentity));
+  builder.Service(
+    ServiceName(std::string(rest.substr(0, rest.find_first_of("/?")))));
+  builder.Team(TeamName(std::string(aMessage.fields.Find(kTeamField))));
+  builder.Idempotent(*idempotent).Deadline(aNow + *timeLeft);
+  const std::string_view key = aMessage.fields.Find(kKeyField);
+  if (!key.empty()) {
+    builder.Key(std::string(key)).Fingerprint(FingerprintOf(aMessage));
+  }
+  return builder.Build(aReason);
+}
+
+HttpRequest
+ToMinionMessage(const HttpRequest& aMessage, const Request& aRequest)
+{
+  HttpRequest message;
+  message.method = aMessage.method;
+  message.target =
+    AfterPrefix(aMessage).substr(aRequest.Service().Text().size());
+  if (!message.target.starts_with('/')) {
+    message.target.insert(0, "/");
+  }
+  message.body = aMessage.body;
+  for (const HttpField& field : aMessage.fields) {
+    if (!IsOwnField(field.name)) {
+      message.fields.Add(field.name, field.value);
+    }
+  }
+  message.fields.Add(std::string(kRequestIdentityField), aRequest.Identity());
+  return message;
+}
+
+}
--- a/links/http_connection.cpp
+++ b/links/http_connection.cpp
@@ -12,6 +12,9 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cerrno>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace sardinecourse {
@@ -22,6 +25,31 @@
 namespace {
 
 constexpr std::uint64_t kBodyLimitBytes = 64ULL << 20U;
+/** Data that the other side has not acknowledged for so long ends the
+ * connection. */
+constexpr int kUnacknowledgedLimitMs = 3000;
+
+using UserTimeout =
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using Parser = http::response_parser<http::string_body>;
+
+bool
+IsInterim(const Parser& aParser)
+{
+  return http::to_status_class(aParser.get().result()) ==
+         http::status_class::informational;
+}
+
+/** False for an answer that ends with the connection: it cannot be told from a
+ * truncated one. */
+bool
+HasKnownEnd(const Parser& aParser, bool aIsHead)
+{
+  const http::status status = aParser.get().result();
+  return aIsHead || status == http::status::no_content ||
+         status == http::status::not_modified || aParser.chunked() ||
+         aParser.content_length().has_value();
+}
 
 }
 
@@ -53,6 +81,15 @@
   return this->stream->reusable;
 }
 
+bool
+HttpConnection::Quiet() const
+{
+  char byte = 0;
+  const auto handle = this->stream->tcp.socket().native_handle();
+  const auto received = ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 asio::awaitable<bool>
 HttpConnection::Connect(Milliseconds aTimeout, Reason& aReason)
 {
@@ -70,6 +107,8 @@
   }
   boost::system::error_code ignored;
   this->stream->tcp.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->stream->tcp.socket().set_option(UserTimeout(kUnacknowledgedLimitMs),
+                                        ignored);
   this->stream->reusable = true;
   co_return true;
 }
@@ -95,33 +134,33 @@
     this->Close();
     co_return std::nullopt;
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kBodyLimitBytes);
-  if (message.method() == http::verb::head) {
-    parser.skip(true);
-  }
-  co_await http::async_read(this->stream->tcp,
-                            this->stream->buffer,
-                            parser,
-                            asio::redirect_error(asio::use_awaitable, error));
-  if (error) {
-    aReason =
-      Reason(Step::kUpstreamReceive, this->endpoint.Text(), error.message());
+  const bool isHead = message.method() == http::verb::head;
+  std::optional<Parser> parser;
+  do {
+    parser.emplace();
+    parser->body_limit(kBodyLimitBytes);
+    parser->skip(isHead);
+    co_await http::async_read(this->stream->tcp,
+                              this->stream->buffer,
+                              *parser,
+                              asio::redirect_error(asio::use_awaitable, error));
+  } while (!error && IsInterim(*parser));
+  if (error || !HasKnownEnd(*parser, isHead)) {
+    const std::string text =
+      error ? error.message()
+            : "the answer has no length, so it may be truncated";
+    aReason = Reason(Step::kUpstreamReceive, this->endpoint.Text(), text);
     this->Close();
     co_return std::nullopt;
   }
   aProgress = ExchangeProgress::kAnswered;
-  // An answer that ends with the connection cannot be told from a truncated one
-  // by its length, and bytes beyond the answer would be read as the answer to
-  // the next request.
-  const bool hasLength =
-    parser.content_length().has_value() || parser.chunked();
+  // Bytes beyond the answer would be read as the answer to the next request.
   this->stream->reusable =
-    parser.keep_alive() && hasLength && this->stream->buffer.size() == 0;
+    parser->keep_alive() && this->stream->buffer.size() == 0;
   if (!this->stream->reusable) {
     this->Close();
   }
-  co_return FromMessage(parser.release());
+  co_return FromMessage(parser->release());
 }
 
 void
--- a/links/http_connection.h
+++ b/links/http_connection.h
@@ -33,6 +33,10 @@
   /** True while the connection is open and its last exchange ended whole. */
   bool Reusable() const;
 
+  /** True if, at this moment, the other side has neither closed the connection
+   * nor sent bytes that nobody asked for. */
+  bool Quiet() const;
+
   /** Opens the connection; false, with the reason, when that fails before the
    * timeout. */
   boost::asio::awaitable<bool> Connect(Milliseconds aTimeout, Reason& aReason);
--- a/links/http_fields.cpp
+++ b/links/http_fields.cpp
@@ -43,4 +43,29 @@
   this->fields.push_back({ std::move(aName), std::move(aValue) });
 }
 
+void
+HttpFields::Set(std::string_view aName, std::string aValue)
+{
+  const auto found = std::find_if(
+    this->fields.begin(), this->fields.end(), [aName](const HttpField& aField) {
+      return IsNamed(aField, aName);
+    });
+  if (found == this->fields.end()) {
+    this->Add(std::string(aName), std::move(aValue));
+    return;
+  }
+  found->value = std::move(aValue);
+}
+
+void
+HttpFields::Remove(std::string_view aName)
+{
+  const auto isNamed = [aName](const HttpField& aField) {
+    return IsNamed(aField, aName);
+  };
+  this->fields.erase(
+    std::remove_if(this->fields.begin(), this->fields.end(), isNamed),
+    this->fields.end());
+}
+
 }
--- a/links/http_fields.h
+++ b/links/http_fields.h
@@ -18,6 +18,10 @@
   std::string_view Find(std::string_view aName) const;
   bool Has(std::string_view aName) const;
   void Add(std::string aName, std::string aValue);
+  /** Replaces the first field of that name, or adds one. */
+  void Set(std::string_view aName, std::string aValue);
+  /** Removes all fields of that name. */
+  void Remove(std::string_view aName);
 
   auto begin() const { return this->fields.begin(); }
   auto end() const { return this->fields.end(); }
--- a/links/http_server.h
+++ b/links/http_server.h
@@ -77,15 +77,26 @@
     return true;
   }
 
+  /** From now on each connection closes after its answer, so that a balancer
+   * moves its callers away; new connections are still accepted. */
+  void CloseAfterAnswers() { this->closing = true; }
+
   /** Accepts no more connections; each open one closes after the answer it is
-   * working on. */
+   * working on, and an idle one at once. Nothing that was received is cut off.
+   */
   void Drain()
   {
     boost::system::error_code ignored;
+    this->closing = true;
     this->draining = true;
+    this->AcceptWaiting();
     this->acceptor.close(ignored);
     for (Session* session : this->sessions) {
-      if (!session->busy) {
+      if (session->busy) {
+        continue;
+      }
+      session->stream.expires_after(kDrainTimeout);
+      if (!session->Started()) {
         session->stream.socket().shutdown(
           boost::asio::ip::tcp::socket::shutdown_receive, ignored);
       }
@@ -103,6 +114,16 @@
     }
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
+    /** True once any byte of the next request has arrived. */
+    bool Started()
+    {
+      boost::system::error_code ignored;
+      return this->buffer.size() > 0 ||
+             (this->parser != nullptr && this->parser->got_some()) ||
+             this->stream.socket().available(ignored) > 0;
+    }
+    boost::beast::http::request_parser<boost::beast::http::string_body>*
+      parser = nullptr;
     bool busy = false;
   };
 
@@ -110,6 +131,24 @@
   static constexpr std::uint64_t kBodyLimitBytes = 64ULL << 20U;
   static constexpr std::uint32_t kHeaderLimitBytes = 64U << 10U;
   static constexpr std::chrono::seconds kIdleTimeout{ 75 };
+  static constexpr std::chrono::seconds kDrainTimeout{ 5 };
+
+  /** Takes in what the kernel accepted already, which closing the listener
+   * would reset. */
+  void AcceptWaiting()
+  {
+    boost::system::error_code error;
+    this->acceptor.non_blocking(true, error);
+    while (!error) {
+      boost::asio::ip::tcp::socket socket(*this->context);
+      this->acceptor.accept(socket, error);
+      if (!error) {
+        boost::asio::co_spawn(*this->context,
+                              this->Serve(std::move(socket)),
+                              boost::asio::detached);
+      }
+    }
+  }
 
   boost::asio::awaitable<void> Accept()
   {
@@ -149,12 +188,15 @@
     parser.body_limit(kBodyLimitBytes);
     parser.header_limit(kHeaderLimitBytes);
     aSession.busy = false;
-    aSession.stream.expires_after(kIdleTimeout);
+    aSession.parser = &parser;
+    aSession.stream.expires_after(this->draining ? kDrainTimeout
+                                                 : kIdleTimeout);
     co_await http::async_read(
       aSession.stream,
       aSession.buffer,
       parser,
       boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    aSession.parser = nullptr;
     if (error) {
       co_return false;
     }
@@ -164,7 +206,7 @@
     HttpRequest request = FromMessage(parser.release());
     HttpAnswer answer = co_await this->handler->Handle(std::move(request));
     auto message = ToMessage(std::move(answer));
-    const bool staysOpen = keepAlive && !this->draining;
+    const bool staysOpen = keepAlive && !this->closing;
     message.keep_alive(staysOpen);
     aSession.stream.expires_after(kIdleTimeout);
     co_await http::async_write(
@@ -178,6 +220,7 @@
   Handler* handler;
   boost::asio::ip::tcp::acceptor acceptor;
   std::list<Session*> sessions;
+  bool closing = false;
   bool draining = false;
 };
 
--- /dev/null
+++ b/zones/claim_decision.cpp
@@ -0,0 +1,29 @@
+#include "zones/claim_decision.h"
+
+#include "contracts/claim.h"
+#include "contracts/request.h"
+
+namespace sardinecourse {
+
+ClaimOutcome
+DecideClaim(const Request& aRequest, const Claim& aClaim)
+{
+  if (aClaim.Fingerprint() != aRequest.Fingerprint()) {
+    return ClaimOutcome::kOtherContent;
+  }
+  switch (aClaim.State()) {
+    case ClaimState::kClaimed:
+      // No one takes a claim over: its owner may be paused, and may send when
+      // it wakes.
+      return aClaim.Owner() == aRequest.Identity() ? ClaimOutcome::kMine
+                                                   : ClaimOutcome::kNotKnown;
+    case ClaimState::kDone:
+      return aClaim.Status() == 0 ? ClaimOutcome::kNotStored
+                                  : ClaimOutcome::kStored;
+    case ClaimState::kNotKnown:
+      return ClaimOutcome::kNotKnown;
+  }
+  return ClaimOutcome::kNotKnown;
+}
+
+}
--- a/zones/minion_table.cpp
+++ b/zones/minion_table.cpp
@@ -4,14 +4,19 @@
 
 namespace sardinecourse {
 
-MinionTable::MinionTable(const Slots& aSlots)
+MinionTable::MinionTable(const Slots& aLocal, const Slots& aRemote)
 {
-  for (const std::shared_ptr<MinionSlot>& slot : aSlots) {
-    this->services[slot->Upstream().Service()].push_back(slot);
+  for (const std::shared_ptr<MinionSlot>& slot : aLocal) {
+    this->services[slot->Upstream().Service()].local.push_back(slot);
+    this->all.push_back(slot);
+  }
+  for (const std::shared_ptr<MinionSlot>& slot : aRemote) {
+    this->services[slot->Upstream().Service()].remote.push_back(slot);
+    this->all.push_back(slot);
   }
 }
 
-const MinionTable::Slots*
+const ServicePool*
 MinionTable::Find(const ServiceName& aService) const
 {
   const auto found = this->services.find(aService);
--- a/zones/minion_table.h
+++ b/zones/minion_table.h
@@ -1,29 +1,28 @@
 #pragma once
 
 #include "core/names.h"
+#include "zones/service_pool.h"
 
-#include <memory>
 #include <unordered_map>
-#include <vector>
 
 namespace sardinecourse {
 
-class MinionSlot;
-
 /** The minions of each service, as one snapshot that the request path reads. */
 class MinionTable
 {
 public:
-  using Slots = std::vector<std::shared_ptr<MinionSlot>>;
+  using Slots = ServicePool::Slots;
 
   MinionTable() = default;
-  explicit MinionTable(const Slots& aSlots);
+  explicit MinionTable(const Slots& aLocal, const Slots& aRemote = {});
 
   /** Minions that serve aService; null if there are none. */
-  const Slots* Find(const ServiceName& aService) const;
+  const ServicePool* Find(const ServiceName& aService) const;
+  const Slots& All() const { return this->all; }
 
 private:
-  std::unordered_map<ServiceName, Slots> services;
+  std::unordered_map<ServiceName, ServicePool> services;
+  Slots all;
 };
 
 }
--- /dev/null
+++ b/zones/retry_decision.cpp
@@ -0,0 +1,54 @@
+#include "zones/retry_decision.h"
+
+#include "contracts/request.h"
+#include "zones/request_progress.h"
+
+namespace sardinecourse {
+
+namespace {
+
+constexpr std::int32_t kMostAttempts = 3;
+
+}
+
+bool
+MayAttempt(const Request& aRequest,
+           const RequestProgress& aProgress,
+           bool aBudget,
+           Instant aNow)
+{
+  if (aProgress.Answered() || aNow >= aRequest.Deadline()) {
+    return false;
+  }
+  if (aProgress.Attempts() == 0) {
+    return true;
+  }
+  if (aProgress.Attempts() >= kMostAttempts || !aBudget) {
+    return false;
+  }
+  return aRequest.Idempotent() || !aProgress.MayHaveRun();
+}
+
+RequestOutcome
+OutcomeOf(const RequestProgress& aProgress)
+{
+  if (aProgress.Answered()) {
+    return RequestOutcome::kDone;
+  }
+  return aProgress.MayHaveRun() ? RequestOutcome::kNotKnown
+                                : RequestOutcome::kNotRun;
+}
+
+Instant
+AttemptDeadline(const Request& aRequest,
+                const RequestProgress& aProgress,
+                Instant aNow)
+{
+  const bool isLast = aProgress.Attempts() + 1 >= kMostAttempts;
+  if (!aRequest.Idempotent() || isLast || aNow >= aRequest.Deadline()) {
+    return aRequest.Deadline();
+  }
+  return aNow + (aRequest.Deadline() - aNow) / 2;
+}
+
+}
--- /dev/null
+++ b/zones/routing_choice.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace sardinecourse {
+
+/** Why a minion was chosen. */
+enum class RoutingChoice : std::uint8_t
+{
+  /** The less loaded of two that chance named, or the next one free. */
+  kBetterOfTwo,
+  /** No healthy minion of this data centre had a slot free. */
+  kSpilled,
+  /** No healthy minion at all had a slot free. */
+  kUnhealthyOnly
+};
+
+constexpr std::string_view
+RoutingChoiceName(RoutingChoice aChoice)
+{
+  switch (aChoice) {
+    case RoutingChoice::kBetterOfTwo:
+      return "better_of_two";
+    case RoutingChoice::kSpilled:
+      return "spilled";
+    case RoutingChoice::kUnhealthyOnly:
+      return "unhealthy_only";
+  }
+  return "unknown";
+}
+
+}
--- /dev/null
+++ b/zones/routing_inputs.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/instant.h"
+
+#include <cstdint>
+
+namespace sardinecourse {
+
+class MinionSlot;
+
+/** What a routing decision depends on besides the table. */
+struct RoutingInputs
+{
+  std::uint64_t random = 0;
+  Instant now;
+  Instant deadline = Instant::max();
+  /** The minion of the attempt before, taken again only if no other is free. */
+  const MinionSlot* avoided = nullptr;
+};
+
+}
--- /dev/null
+++ b/zones/service_pool.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+namespace sardinecourse {
+
+class MinionSlot;
+
+/** The minions of one service, split by their distance from this host. */
+struct ServicePool
+{
+  using Slots = std::vector<std::shared_ptr<MinionSlot>>;
+
+  /** In this host's data centre. */
+  Slots local;
+  /** In other data centres of the same region. */
+  Slots remote;
+};
+
+}
