Add peer links: one websocket a pair, CBOR messages, a view of who is live

Cause: entry hosts have to tell each other of settings, loads, leaving minions and promises, also while the platform is away.

Change: links/peer_socket wraps websocketpp on the daemon's io_context (C++17, no locks inside, small buffers); links/peer_links keeps one connection a pair, dialled by the host of the lower name, with hello, heartbeat, backoff with jitter, request and reply with timeouts, and replaces a connection that went silent. Messages are values in contracts/, one variant; codecs/peer_cbor reads them from one flat CBOR array by nlohmann's SAX parser, so that nesting costs no stack and everything unknown, damaged or oversized is refused with a reason. zones/peer_view judges peers as live, suspected, gone or unknown, with time as an argument.

Conclusion: the links stand by themselves; the daemon joins them next.

--- /dev/null
+++ b/codecs/cbor_array.cpp
@@ -0,0 +1,48 @@
+#include "codecs/cbor_array.h"
+
+#include <limits>
+#include <utility>
+
+namespace sardinecourse {
+
+std::optional<std::vector<CborArray::Item>>
+CborArray::Parse(const std::string& aBytes)
+{
+  CborArray array;
+  const bool isWhole = nlohmann::json::sax_parse(
+    aBytes, &array, nlohmann::json::input_format_t::cbor);
+  if (!isWhole || !array.isOpen) {
+    return std::nullopt;
+  }
+  return std::move(array.items);
+}
+
+bool
+CborArray::number_integer(std::int64_t aValue)
+{
+  this->items.emplace_back(aValue);
+  return this->isOpen;
+}
+
+bool
+CborArray::number_unsigned(std::uint64_t aValue)
+{
+  constexpr std::uint64_t kMost = std::numeric_limits<std::int64_t>::max();
+  this->items.emplace_back(static_cast<std::int64_t>(aValue));
+  return this->isOpen && aValue <= kMost;
+}
+
+bool
+CborArray::string(std::string& aValue)
+{
+  this->items.emplace_back(std::move(aValue));
+  return this->isOpen;
+}
+
+bool
+CborArray::start_array(std::size_t /*aCount*/)
+{
+  return !std::exchange(this->isOpen, true);
+}
+
+}
--- /dev/null
+++ b/codecs/cbor_array.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace sardinecourse {
+
+/**
+ * Receives the events of nlohmann's parser and keeps the items of one flat
+ * array of whole numbers and texts. Anything else ends the parse, so deep
+ * nesting costs neither stack nor memory. The library gives these method names.
+ */
+class CborArray
+{
+public:
+  using Item = std::variant<std::int64_t, std::string>;
+
+  /** Empty when aBytes is anything but one such array. */
+  static std::optional<std::vector<Item>> Parse(const std::string& aBytes);
+
+  // NOLINTBEGIN(readability-identifier-naming)
+  bool null() { return false; }
+  bool boolean(bool /*aValue*/) { return false; }
+  bool number_integer(std::int64_t aValue);
+  bool number_unsigned(std::uint64_t aValue);
+  bool number_float(double /*aValue*/, const std::string& /*aText*/)
+  {
+    return false;
+  }
+  bool string(std::string& aValue);
+  bool binary(nlohmann::json::binary_t& /*aValue*/) { return false; }
+  bool start_object(std::size_t /*aCount*/) { return false; }
+  bool key(std::string& /*aValue*/) { return false; }
+  bool end_object() { return false; }
+  bool start_array(std::size_t /*aCount*/);
+  bool end_array() { return true; }
+  bool parse_error(std::size_t /*aPosition*/,
+                   const std::string& /*aToken*/,
+                   const nlohmann::json::exception& /*aError*/)
+  {
+    return false;
+  }
+  // NOLINTEND(readability-identifier-naming)
+
+private:
+  std::vector<Item> items;
+  bool isOpen = false;
+};
+
+}
--- /dev/null
+++ b/contracts/minion_load.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace sardinecourse {
+
+/** Requests that the sender has in flight at one minion. */
+struct MinionLoad
+{
+  /** Place of the minion among those of the data centre, in the order of the
+   * settings. */
+  std::int64_t index = 0;
+  std::int64_t inFlight = 0;
+
+  auto operator<=>(const MinionLoad&) const = default;
+};
+
+}
--- /dev/null
+++ b/contracts/peer_message.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "contracts/host_leaving.h"
+#include "contracts/minion_leaving.h"
+#include "contracts/minion_loads.h"
+#include "contracts/peer_heartbeat.h"
+#include "contracts/peer_hello.h"
+#include "contracts/promise_reply.h"
+#include "contracts/promise_request.h"
+#include "contracts/queue_notice.h"
+#include "contracts/settings_reply.h"
+#include "contracts/settings_request.h"
+
+#include <variant>
+
+namespace sardinecourse {
+
+/** All that entry hosts tell each other. The order of the types is part of the
+ * protocol: new ones go to the end. */
+using PeerMessage = std::variant<PeerHello,
+                                 PeerHeartbeat,
+                                 SettingsRequest,
+                                 SettingsReply,
+                                 MinionLoads,
+                                 MinionLeaving,
+                                 PromiseRequest,
+                                 PromiseReply,
+                                 QueueNotice,
+                                 HostLeaving>;
+
+}
--- /dev/null
+++ b/contracts/promise_reply.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace sardinecourse {
+
+/** Answers a PromiseRequest. */
+struct PromiseReply
+{
+  std::int64_t request = 0;
+  bool granted = false;
+
+  auto operator<=>(const PromiseReply&) const = default;
+};
+
+}
--- /dev/null
+++ b/core/backoff.cpp
@@ -0,0 +1,23 @@
+#include "core/backoff.h"
+
+#include <algorithm>
+
+namespace sardinecourse {
+
+Milliseconds
+Backoff(const BackoffBounds& aBounds,
+        std::int32_t aFailures,
+        std::uint64_t aRandom)
+{
+  // Beyond this many doublings the upper bound holds in any case.
+  constexpr std::int32_t kMostDoublings = 16;
+  const std::int32_t doublings =
+    std::clamp(aFailures - 1, std::int32_t{ 0 }, kMostDoublings);
+  const Milliseconds whole =
+    std::min<Milliseconds>(aBounds.most, aBounds.first * (1LL << doublings));
+  const auto half = static_cast<std::uint64_t>(whole.count() / 2);
+  return Milliseconds(whole.count() -
+                      static_cast<std::int64_t>(aRandom % (half + 1)));
+}
+
+}
--- /dev/null
+++ b/links/peer_log.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "core/names.h"
+
+#include <string>
+#include <string_view>
+
+namespace sardinecourse {
+
+/** Logs one event of a peer link as "EVENT peer=HOST DETAIL". */
+void
+LogPeer(std::string_view aEvent,
+        const HostName& aPeer,
+        const std::string& aDetail);
+
+}
--- /dev/null
+++ b/zones/peer_standing.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "core/names.h"
+#include "zones/peer_state.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace sardinecourse {
+
+/** One peer in a PeerView. */
+struct PeerStanding
+{
+  HostName host;
+  DataCentreName dataCentre;
+  PeerState state = PeerState::kUnknown;
+  std::int64_t revision = 0;
+
+  auto operator<=>(const PeerStanding&) const = default;
+};
+
+}
