Add the settings keeper and the operators' resources

Cause: an accepted configuration has to be in force everywhere within seconds and must never revert, whoever races, restarts or loses an answer. Change: SettingsKeeper (a template on the table, the peers and who adopts) polls one small row and reads the text of a revision only when it is new; texts stand in rows of their own, of which the last 64 are kept. A proposal is checked whole, guarantees included, and accepted by compare-and-set on the newest record together with a history row that is never replaced: that row tells what became of a lost answer. Operators get /settings, /settings/history, /settings/origin and /status on the callers' endpoint, answered on the control thread.

--- /dev/null
+++ b/codecs/settings_json.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "contracts/accept_outcome.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sardinecourse {
+
+class Reason;
+class SettingsRecord;
+class SettingsTree;
+struct SettingsAnswer;
+struct SettingsProposal;
+struct SettingsScope;
+struct SettingsText;
+
+/** Messages about settings: rows of the table, and what operators ask and are
+ * told. Decoders are empty, with the reason, when a text is no such message. */
+std::string
+EncodeSettingsRecord(const SettingsRecord& aRecord);
+std::optional<SettingsRecord>
+DecodeSettingsRecord(const std::string& aText, Reason& aReason);
+
+std::string
+EncodeSettingsHistory(const std::vector<SettingsRecord>& aRecords);
+std::optional<std::vector<SettingsRecord>>
+DecodeSettingsHistory(const std::string& aText, Reason& aReason);
+
+std::string
+EncodeSettingsText(const SettingsText& aSettings);
+std::optional<SettingsText>
+DecodeSettingsText(const std::string& aText, Reason& aReason);
+
+std::string
+EncodeSettingsProposal(const SettingsProposal& aProposal);
+std::optional<SettingsProposal>
+DecodeSettingsProposal(const std::string& aText, Reason& aReason);
+
+/** For example "conflict". */
+std::string_view
+AcceptOutcomeName(AcceptOutcome aOutcome);
+std::string
+EncodeSettingsAnswer(const SettingsAnswer& aAnswer);
+std::optional<SettingsAnswer>
+DecodeSettingsAnswer(const std::string& aText, Reason& aReason);
+
+/** Each policy value in force at a place, and the level it comes from. */
+std::string
+EncodeSettingsOrigins(const SettingsTree& aTree, const SettingsScope& aScope);
+
+}
--- /dev/null
+++ b/codecs/status_json.cpp
@@ -0,0 +1,50 @@
+#include "codecs/status_json.h"
+
+#include "contracts/host_status.h"
+#include "core/reason.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sardinecourse {
+
+using nlohmann::json;
+
+std::string
+EncodeHostStatus(const HostStatus& aStatus)
+{
+  const json message{ { "host", aStatus.host.Text() },
+                      { "data_centre", aStatus.dataCentre.Text() },
+                      { "version", aStatus.version },
+                      { "revision", aStatus.revision },
+                      { "platform_reachable", aStatus.platformReachable },
+                      { "platform_reads", aStatus.platformReads },
+                      { "platform_writes", aStatus.platformWrites },
+                      { "uptime_s", aStatus.uptime.count() } };
+  return message.dump();
+}
+
+std::optional<HostStatus>
+DecodeHostStatus(const std::string& aText, Reason& aReason)
+{
+  // A field of another type makes the library throw.
+  try {
+    const json message = json::parse(aText);
+    HostStatus status;
+    status.host = HostName(message.at("host").get<std::string>());
+    status.dataCentre =
+      DataCentreName(message.at("data_centre").get<std::string>());
+    status.version = message.at("version").get<std::string>();
+    status.revision = message.at("revision").get<std::int64_t>();
+    status.platformReachable = message.at("platform_reachable").get<bool>();
+    status.platformReads = message.at("platform_reads").get<std::uint64_t>();
+    status.platformWrites = message.at("platform_writes").get<std::uint64_t>();
+    status.uptime =
+      std::chrono::seconds(message.at("uptime_s").get<std::int64_t>());
+    return status;
+  } catch (const json::exception& error) {
+    aReason = Reason(Step::kDecode, "", error.what());
+    return std::nullopt;
+  }
+}
+
+}
--- /dev/null
+++ b/contracts/host_status.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/names.h"
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace sardinecourse {
+
+/** What a daemon tells operators of itself. */
+struct HostStatus
+{
+  HostName host;
+  DataCentreName dataCentre;
+  std::string version;
+  /** Revision of the settings in force; zero while none are. */
+  std::int64_t revision = 0;
+  bool platformReachable = false;
+  std::uint64_t platformReads = 0;
+  std::uint64_t platformWrites = 0;
+  std::chrono::seconds uptime{ 0 };
+
+  auto operator<=>(const HostStatus&) const = default;
+};
+
+}
--- a/daemon/claim_desk.cpp
+++ b/daemon/claim_desk.cpp
@@ -14,18 +14,14 @@
 
 struct ClaimDesk::Control
 {
-  Control(boost::asio::io_context& aContext,
-          const std::vector<Endpoint>& aPlatform)
-    : platform(aContext, aPlatform)
-    , keeper(aContext, this->platform)
+  Control(boost::asio::io_context& aContext, PlatformLink& aPlatform)
+    : keeper(aContext, aPlatform)
   {
   }
-  PlatformLink platform;
   ClaimKeeper<PlatformLink> keeper;
 };
 
-ClaimDesk::ClaimDesk(boost::asio::io_context& aControl,
-                     const std::vector<Endpoint>& aPlatform)
+ClaimDesk::ClaimDesk(boost::asio::io_context& aControl, PlatformLink& aPlatform)
   : context(&aControl)
   , control(std::make_unique<Control>(aControl, aPlatform))
 {
--- a/daemon/claim_desk.h
+++ b/daemon/claim_desk.h
@@ -5,7 +5,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <memory>
-#include <vector>
 
 namespace boost::asio {
 class io_context;
@@ -14,15 +13,14 @@
 namespace sardinecourse {
 
 class Claim;
-class Endpoint;
+class PlatformLink;
 
 /** Through which serving threads reach the control thread's claim keeper. */
 class ClaimDesk
 {
 public:
-  /** aControl is the control thread's context. */
-  ClaimDesk(boost::asio::io_context& aControl,
-            const std::vector<Endpoint>& aPlatform);
+  /** aControl is the control thread's context, which the link runs on. */
+  ClaimDesk(boost::asio::io_context& aControl, PlatformLink& aPlatform);
   ~ClaimDesk();
   ClaimDesk(const ClaimDesk&) = delete;
   ClaimDesk& operator=(const ClaimDesk&) = delete;
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/rcu_thread.h"
 #include "core/reason.h"
+#include "daemon/logging.h"
 #include "daemon/serving_thread.h"
 #include "zones/fleet.h"
 
@@ -29,10 +30,22 @@
   , control(1)
   , controlWork(this->control.get_executor())
   , stopTimer(this->control)
+  , platform(this->control, this->settings.Platform())
+  , adopter([this](const Fleet& aFleet) { this->Adopt(aFleet); })
+  , keeper(this->control,
+           this->settings.Host().DataCentre(),
+           this->platform,
+           this->settingsPeers,
+           this->adopter)
+  , operators(
+      this->control,
+      this->keeper,
+      StatusResource(this->settings.Host(), this->keeper, this->platform))
   , minions(this->settings.Host().DataCentre())
   , requests(this->settings.Host().Name(),
              this->control,
-             this->settings.Platform())
+             this->platform,
+             this->operators)
 {
 }
 
@@ -51,6 +64,8 @@
       this->Stop();
     }
   });
+  boost::asio::co_spawn(
+    this->control, this->keeper.Run(), boost::asio::detached);
   this->control.run();
   for (const std::unique_ptr<ServingThread>& thread : this->serving) {
     thread->Join();
@@ -61,6 +76,8 @@
 void
 Daemon::Adopt(const Fleet& aFleet)
 {
+  const SettingsScope here{ this->settings.Host().DataCentre(), {}, {} };
+  SetLogLevel(aFleet.Settings().Resolve(here).LogLevel());
   this->requests.minions.Publish(this->minions.Adopt(aFleet));
   this->requests.readiness.SettingsInForce();
 }
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "daemon/host_settings_keeper.h"
 #include "daemon/minion_registry.h"
+#include "daemon/operator_api.h"
 #include "daemon/request_context.h"
 #include "daemon/routing_log.h"
 #include "machines/host_settings.h"
@@ -50,6 +52,11 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     controlWork;
   boost::asio::steady_timer stopTimer;
+  PlatformLink platform;
+  NoSettingsPeers settingsPeers;
+  FleetAdopter adopter;
+  HostSettingsKeeper keeper;
+  OperatorApi operators;
   MinionRegistry minions;
   RequestContext requests;
   RoutingLog routingLog;
--- a/daemon/front_end.cpp
+++ b/daemon/front_end.cpp
@@ -2,6 +2,7 @@
 
 #include "codecs/refusal.h"
 #include "core/reason.h"
+#include "daemon/operator_api.h"
 #include "daemon/request_context.h"
 
 #include <utility>
@@ -40,6 +41,11 @@
   if (aRequest.target == "/metrics") {
     co_return this->Metrics();
   }
+  if (OperatorApi::Serves(aRequest.target)) {
+    HttpAnswer answer =
+      co_await this->shared->operators->Handle(std::move(aRequest));
+    co_return answer;
+  }
   const Reason reason(Step::kDecode, aRequest.target, "no such resource");
   HttpAnswer answer;
   answer.status = kNotFound;
--- /dev/null
+++ b/daemon/host_settings_keeper.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "daemon/fleet_adopter.h"
+#include "daemon/no_settings_peers.h"
+#include "daemon/settings_keeper.h"
+#include "links/platform_link.h"
+
+namespace sardinecourse {
+
+/** The settings keeper as the daemon runs it. */
+using HostSettingsKeeper =
+  SettingsKeeper<PlatformLink, NoSettingsPeers, FleetAdopter>;
+
+}
--- /dev/null
+++ b/daemon/logging.cpp
@@ -0,0 +1,49 @@
+#include "daemon/logging.h"
+
+#include "machines/host_settings.h"
+
+#include <log4cplus/configurator.h>
+#include <log4cplus/helpers/property.h>
+#include <log4cplus/logger.h>
+#include <string>
+
+namespace sardinecourse {
+
+namespace {
+
+// The level stands first, so that a glance finds the lines that matter.
+constexpr const char* kPattern = "%D{%Y-%m-%dT%H:%M:%S.%qZ} %-5p %c %m%n";
+
+}
+
+void
+ConfigureLogging(const HostSettings& aSettings)
+{
+  log4cplus::helpers::Properties properties;
+  properties.setProperty("log4cplus.rootLogger",
+                         aSettings.LogLevel() + ", LOG");
+  if (aSettings.LogFile().empty()) {
+    properties.setProperty("log4cplus.appender.LOG",
+                           "log4cplus::ConsoleAppender");
+    properties.setProperty("log4cplus.appender.LOG.logToStdErr", "true");
+  } else {
+    properties.setProperty("log4cplus.appender.LOG", "log4cplus::FileAppender");
+    properties.setProperty("log4cplus.appender.LOG.File", aSettings.LogFile());
+    properties.setProperty("log4cplus.appender.LOG.Append", "true");
+  }
+  properties.setProperty("log4cplus.appender.LOG.layout",
+                         "log4cplus::PatternLayout");
+  properties.setProperty("log4cplus.appender.LOG.layout.ConversionPattern",
+                         kPattern);
+  log4cplus::PropertyConfigurator(properties).configure();
+}
+
+void
+SetLogLevel(std::string_view aLevel)
+{
+  const log4cplus::LogLevel level =
+    log4cplus::getLogLevelManager().fromString(std::string(aLevel));
+  log4cplus::Logger::getRoot().setLogLevel(level);
+}
+
+}
--- /dev/null
+++ b/daemon/operator_api.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "daemon/settings_resource.h"
+#include "daemon/status_resource.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <string_view>
+
+namespace sardinecourse {
+
+/** What operators ask of a daemon. It is called by any serving thread, and
+ * answers on the control thread. */
+class OperatorApi
+{
+public:
+  OperatorApi(boost::asio::io_context& aControl,
+              HostSettingsKeeper& aKeeper,
+              StatusResource aStatus);
+
+  static bool Serves(std::string_view aTarget);
+  boost::asio::awaitable<HttpAnswer> Handle(HttpRequest aRequest);
+
+private:
+  boost::asio::awaitable<HttpAnswer> HandleOnControl(HttpRequest aRequest);
+
+  boost::asio::io_context* control;
+  SettingsResource settings;
+  StatusResource status;
+};
+
+}
--- a/daemon/request_context.h
+++ b/daemon/request_context.h
@@ -9,21 +9,26 @@
 
 namespace sardinecourse {
 
+class OperatorApi;
+
 /** What all serving threads of a host share. */
 struct RequestContext
 {
   RequestContext(HostName aHost,
                  boost::asio::io_context& aControl,
-                 const std::vector<Endpoint>& aPlatform)
+                 PlatformLink& aPlatform,
+                 OperatorApi& aOperators)
     : host(std::move(aHost))
     , minions(std::make_unique<const MinionTable>())
     , claims(aControl, aPlatform)
+    , operators(&aOperators)
   {
   }
 
   HostName host;
   Snapshot<MinionTable> minions;
   ClaimDesk claims;
+  OperatorApi* operators;
   RequestMetrics metrics;
   Readiness readiness;
 };
--- a/daemon/sardinecoursed.cpp
+++ b/daemon/sardinecoursed.cpp
@@ -1,13 +1,11 @@
-#include "codecs/fleet_yaml.h"
 #include "codecs/host_settings_yaml.h"
 #include "codecs/yaml_document.h"
 #include "core/reason.h"
 #include "daemon/daemon.h"
+#include "daemon/logging.h"
 #include "machines/host_settings.h"
-#include "zones/fleet.h"
 
 #include <iostream>
-#include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <popt.h>
 
@@ -27,20 +25,10 @@
 }
 
 int
-Run(const HostSettings& aSettings, const std::string& aFleetPath)
+Run(const HostSettings& aSettings)
 {
   Reason reason;
   Daemon daemon(aSettings);
-  if (!aFleetPath.empty()) {
-    const std::optional<std::string> text = ReadTextFile(aFleetPath, reason);
-    const std::optional<Fleet> fleet =
-      text ? DecodeFleet(*text, aFleetPath, 0, reason) : std::nullopt;
-    if (!fleet) {
-      std::cerr << "sardinecoursed: " << reason.Message() << '\n';
-      return kExitSettings;
-    }
-    daemon.Adopt(*fleet);
-  }
   if (!daemon.Run(reason)) {
     std::cerr << "sardinecoursed: " << reason.Message() << '\n';
     return kExitSettings;
@@ -57,7 +45,6 @@
 {
   using namespace sardinecourse;
   const char* settingsPath = nullptr;
-  const char* fleetPath = nullptr;
   int isCheck = 0;
   int isVersion = 0;
   const poptOption options[] = { { "settings",
@@ -67,13 +54,6 @@
                                    0,
                                    "This host's settings",
                                    "FILE" },
-                                 { "fleet",
-                                   'f',
-                                   POPT_ARG_STRING,
-                                   &fleetPath,
-                                   0,
-                                   "The fleet's settings",
-                                   "FILE" },
                                  { "check",
                                    0,
                                    POPT_ARG_NONE,
@@ -118,6 +98,6 @@
     return kExitOk;
   }
   const log4cplus::Initializer logging;
-  log4cplus::BasicConfigurator::doConfigure();
-  return Run(*settings, fleetPath == nullptr ? "" : fleetPath);
+  ConfigureLogging(*settings);
+  return Run(*settings);
 }
--- /dev/null
+++ b/daemon/settings_keeper.h
@@ -0,0 +1,318 @@
+#pragma once
+
+#include "codecs/fleet_yaml.h"
+#include "contracts/settings_answer.h"
+#include "contracts/settings_proposal.h"
+#include "contracts/settings_text.h"
+#include "contracts/table_transaction.h"
+#include "core/identity_source.h"
+#include "core/instant.h"
+#include "core/reason.h"
+#include "daemon/settings_adopter.h"
+#include "daemon/settings_log.h"
+#include "daemon/settings_peers.h"
+#include "daemon/settings_rows.h"
+#include "links/platform_table.h"
+#include "zones/fleet.h"
+#include "zones/settings_checks.h"
+#include "zones/settings_decisions.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+#include <vector>
+
+namespace sardinecourse {
+
+/**
+ * Keeps the highest accepted revision of the fleet's settings in force on this
+ * host, and accepts changes. Everything runs on the control thread. It reads
+ * one small row at each poll, and the text only of a revision that is new; when
+ * the platform does not answer, it takes the highest revision of its peers.
+ */
+template<PlatformTable Table, SettingsPeers Peers, SettingsAdopter Adopter>
+class SettingsKeeper
+{
+public:
+  SettingsKeeper(boost::asio::io_context& aContext,
+                 DataCentreName aDataCentre,
+                 Table& aTable,
+                 Peers& aPeers,
+                 Adopter& aAdopter)
+    : dataCentre(std::move(aDataCentre))
+    , table(&aTable)
+    , peers(&aPeers)
+    , adopter(&aAdopter)
+    , timer(aContext)
+  {
+  }
+
+  /** Polls until Stop(). */
+  boost::asio::awaitable<void> Run()
+  {
+    while (!this->stopped) {
+      co_await this->Poll();
+      co_await this->WaitForNextPoll();
+    }
+  }
+
+  void Stop()
+  {
+    this->stopped = true;
+    this->timer.cancel();
+  }
+
+  /** A peer has told of a revision; a higher one is taken at once. */
+  void Heard(std::int64_t aRevision)
+  {
+    this->heard = std::max(this->heard, aRevision);
+    if (ShouldAdopt(this->inForce.revision, aRevision)) {
+      this->isWoken = true;
+      this->timer.cancel();
+    }
+  }
+
+  /** The settings in force; revision zero while none are. */
+  const SettingsText& InForce() const { return this->inForce; }
+  const std::optional<Fleet>& InForceFleet() const { return this->fleet; }
+
+  /** One reading of the newest revision. */
+  boost::asio::awaitable<void> Poll()
+  {
+    Reason reason;
+    const std::optional<TableRow> row = co_await this->ReadNewest(reason);
+    if (!row) {
+      co_await this->AskPeers();
+      co_return;
+    }
+    const std::optional<SettingsRecord> newest = RecordOf(*row, reason);
+    if (newest && this->IsWanted(newest->Revision())) {
+      co_await this->Fetch(*newest);
+    }
+  }
+
+  /** Checks a proposal and puts it in force everywhere, if it comes first. */
+  boost::asio::awaitable<SettingsAnswer> Accept(SettingsProposal aProposal)
+  {
+    SettingsAnswer answer;
+    const std::optional<Fleet> proposed =
+      DecodeFleet(aProposal.yaml, aProposal.file, 0, answer.reason);
+    if (!proposed || !GuaranteesFitEverywhere(*proposed, answer.reason)) {
+      answer.outcome = AcceptOutcome::kInvalid;
+      co_return answer;
+    }
+    const std::optional<TableRow> row =
+      co_await this->ReadNewest(answer.reason);
+    if (!row) {
+      answer.outcome = AcceptOutcome::kUnreachable;
+      co_return answer;
+    }
+    answer = co_await this->Replace(*row, aProposal);
+    if (answer.outcome == AcceptOutcome::kAccepted) {
+      this->Adopt({ answer.record->Revision(), aProposal.yaml }, "operator");
+    }
+    LogProposal(aProposal, answer);
+    co_return answer;
+  }
+
+  /** The last changes, newest first; empty when the platform does not answer.
+   */
+  boost::asio::awaitable<std::optional<std::vector<SettingsRecord>>> History(
+    std::int64_t aMost,
+    Reason& aReason)
+  {
+    const std::optional<TableRow> row = co_await this->ReadNewest(aReason);
+    if (!row) {
+      co_return std::nullopt;
+    }
+    std::vector<SettingsRecord> records;
+    const std::optional<SettingsRecord> newest = RecordOf(*row, aReason);
+    const std::int64_t last = newest ? newest->Revision() : 0;
+    for (std::int64_t revision = last; revision > 0 && revision > last - aMost;
+         --revision) {
+      std::optional<SettingsRecord> record =
+        co_await this->ReadRecord(revision, aReason);
+      if (!record) {
+        co_return std::nullopt;
+      }
+      records.push_back(std::move(*record));
+    }
+    co_return records;
+  }
+
+private:
+  boost::asio::awaitable<void> WaitForNextPoll()
+  {
+    if (this->stopped || std::exchange(this->isWoken, false)) {
+      co_return;
+    }
+    const Milliseconds interval =
+      (this->fleet ? this->fleet->Settings() : SettingsTree())
+        .Resolve({ this->dataCentre, {}, {} })
+        .SettingsPoll();
+    boost::system::error_code ignored;
+    this->timer.expires_after(interval);
+    co_await this->timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    this->isWoken = false;
+  }
+
+  bool IsWanted(std::int64_t aRevision) const
+  {
+    return ShouldAdopt(this->inForce.revision, aRevision) &&
+           aRevision != this->unreadable;
+  }
+
+  boost::asio::awaitable<std::optional<TableRow>> ReadNewest(Reason& aReason)
+  {
+    const std::string key = NewestSettingsKey();
+    std::optional<TableRow> row = co_await this->table->Read(key, aReason);
+    co_return row;
+  }
+
+  boost::asio::awaitable<std::optional<SettingsRecord>> ReadRecord(
+    std::int64_t aRevision,
+    Reason& aReason)
+  {
+    const std::string key = SettingsHistoryKey(aRevision);
+    const std::optional<TableRow> row =
+      co_await this->table->Read(key, aReason);
+    co_return row ? RecordOf(*row, aReason) : std::nullopt;
+  }
+
+  boost::asio::awaitable<void> Fetch(SettingsRecord aNewest)
+  {
+    Reason reason;
+    const std::string key = SettingsTextKey(aNewest.Revision());
+    const std::optional<TableRow> row = co_await this->table->Read(key, reason);
+    // The row is gone when many changes were accepted since: the next poll sees
+    // the newest of them.
+    if (row && row->Revision() != 0) {
+      this->Adopt({ aNewest.Revision(), row->Value() }, "platform");
+    }
+  }
+
+  /** A host that has settings asks only when a peer has told of higher ones. */
+  boost::asio::awaitable<void> AskPeers()
+  {
+    const bool isNeeded = this->inForce.revision == 0 ||
+                          ShouldAdopt(this->inForce.revision, this->heard);
+    if (!isNeeded) {
+      co_return;
+    }
+    Reason reason;
+    std::optional<SettingsText> settings = co_await this->peers->Ask(reason);
+    if (settings && this->IsWanted(settings->revision)) {
+      this->Adopt(std::move(*settings), "peer");
+    }
+  }
+
+  void Adopt(SettingsText aSettings, const char* aSource)
+  {
+    if (!ShouldAdopt(this->inForce.revision, aSettings.revision)) {
+      return;
+    }
+    Reason reason;
+    std::optional<Fleet> decoded =
+      DecodeFleet(aSettings.yaml, "settings", aSettings.revision, reason);
+    if (!decoded) {
+      this->unreadable = aSettings.revision;
+      LogUnreadable(aSettings.revision, aSource, reason);
+      return;
+    }
+    this->fleet = std::move(decoded);
+    this->inForce = std::move(aSettings);
+    this->adopter->Adopt(*this->fleet);
+    LogAdopted(this->inForce.revision, aSource);
+    this->peers->Announce(this->inForce.revision);
+  }
+
+  boost::asio::awaitable<SettingsAnswer> Replace(
+    const TableRow& aNewest,
+    const SettingsProposal& aProposal)
+  {
+    SettingsAnswer answer;
+    const std::optional<SettingsRecord> newest =
+      RecordOf(aNewest, answer.reason);
+    bool isSame = false;
+    if (newest) {
+      isSame = co_await this->IsText(newest->Revision(), aProposal.yaml);
+    }
+    if (isSame) {
+      answer.outcome = AcceptOutcome::kUnchanged;
+      answer.record = newest;
+      co_return answer;
+    }
+    const auto now = std::chrono::time_point_cast<Milliseconds>(
+      std::chrono::system_clock::now());
+    const std::string identity = this->identities.Next();
+    const std::optional<SettingsRecord> next =
+      NextRecord(newest, aProposal, identity, now, answer.reason);
+    if (!next) {
+      answer.outcome = AcceptOutcome::kConflict;
+      answer.record = newest;
+      co_return answer;
+    }
+    const std::optional<TableTransaction> transaction =
+      AcceptTransaction(aNewest, *next, aProposal.yaml, answer.reason);
+    const WriteOutcome outcome =
+      co_await this->table->Commit(*transaction, answer.reason);
+    co_await this->Judge(outcome, *next, answer);
+    co_return answer;
+  }
+
+  /** Finds out what became of the attempt that aNext records. */
+  boost::asio::awaitable<void> Judge(WriteOutcome aOutcome,
+                                     SettingsRecord aNext,
+                                     SettingsAnswer& aAnswer)
+  {
+    std::optional<SettingsRecord> standing;
+    if (aOutcome == WriteOutcome::kNotKnown ||
+        aOutcome == WriteOutcome::kConflict) {
+      Reason ignored;
+      standing = co_await this->ReadRecord(aNext.Revision(), ignored);
+    }
+    aAnswer.outcome = JudgeAccept(aOutcome, aNext.Identity(), standing);
+    aAnswer.record = standing;
+    if (aAnswer.outcome == AcceptOutcome::kAccepted) {
+      aAnswer.record = aNext;
+      aAnswer.reason = Reason();
+    }
+    if (aAnswer.outcome == AcceptOutcome::kConflict && standing) {
+      aAnswer.reason = Reason(Step::kSettings, "", "another change came first");
+    }
+  }
+
+  /** True when the text of a revision is aYaml. */
+  boost::asio::awaitable<bool> IsText(std::int64_t aRevision,
+                                      const std::string& aYaml)
+  {
+    if (aRevision == this->inForce.revision) {
+      co_return aYaml == this->inForce.yaml;
+    }
+    Reason ignored;
+    const std::string key = SettingsTextKey(aRevision);
+    const std::optional<TableRow> row =
+      co_await this->table->Read(key, ignored);
+    co_return row && row->Value() == aYaml;
+  }
+
+  DataCentreName dataCentre;
+  Table* table;
+  Peers* peers;
+  Adopter* adopter;
+  boost::asio::steady_timer timer;
+  IdentitySource identities;
+  SettingsText inForce;
+  std::optional<Fleet> fleet;
+  /** The highest revision that a peer told of. */
+  std::int64_t heard = 0;
+  /** A revision that this program cannot read; it waits for a higher one. */
+  std::int64_t unreadable = 0;
+  bool isWoken = false;
+  bool stopped = false;
+};
+
+}
--- /dev/null
+++ b/daemon/status_resource.cpp
@@ -0,0 +1,36 @@
+#include "daemon/status_resource.h"
+
+#include "codecs/status_json.h"
+#include "contracts/host_status.h"
+#include "daemon/json_answer.h"
+
+#include <utility>
+
+namespace sardinecourse {
+
+StatusResource::StatusResource(EntryHost aHost,
+                               const HostSettingsKeeper& aKeeper,
+                               const PlatformLink& aPlatform)
+  : host(std::move(aHost))
+  , keeper(&aKeeper)
+  , platform(&aPlatform)
+{
+}
+
+HttpAnswer
+StatusResource::Show() const
+{
+  HostStatus status;
+  status.host = this->host.Name();
+  status.dataCentre = this->host.DataCentre();
+  status.version = SARDINECOURSE_VERSION;
+  status.revision = this->keeper->InForce().revision;
+  status.platformReachable = this->platform->Reachable();
+  status.platformReads = this->platform->Counters().reads;
+  status.platformWrites = this->platform->Counters().writes;
+  status.uptime = std::chrono::duration_cast<std::chrono::seconds>(
+    Clock::now() - this->started);
+  return JsonAnswer(200, EncodeHostStatus(status));
+}
+
+}
--- /dev/null
+++ b/links/http_target.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <compare>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace sardinecourse {
+
+/** The path and the decoded query of a request's target. */
+class HttpTarget
+{
+public:
+  explicit HttpTarget(std::string_view aTarget);
+
+  const std::string& Path() const { return this->path; }
+  /** Empty when the query has no such key. */
+  std::string Query(const std::string& aKey) const;
+
+  auto operator<=>(const HttpTarget&) const = default;
+
+private:
+  void AddQuery(std::string_view aPair);
+
+  std::string path;
+  std::map<std::string, std::string> query;
+};
+
+/** Escapes a text so that it may stand in a query. */
+std::string
+EscapeQuery(std::string_view aText);
+
+}
--- a/links/platform_link.cpp
+++ b/links/platform_link.cpp
@@ -8,12 +8,10 @@
 #include "links/http_request.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <cstdio>
 #include <utility>
 
 namespace sardinecourse {
@@ -90,7 +88,6 @@
                            std::vector<Endpoint> aEndpoints)
   : context(&aContext)
   , endpoints(std::move(aEndpoints))
-  , random(std::random_device{}())
 {
 }
 
@@ -150,7 +147,7 @@
 PlatformLink::Commit(TableTransaction aTransaction, Reason& aReason)
 {
   Attempt attempt;
-  attempt.identity = this->NewAttempt();
+  attempt.identity = this->identities.Next();
   attempt.request = Post("/table/transaction",
                          EncodeTransaction(aTransaction, attempt.identity));
   attempt.isRepeatable = IsRepeatable(aTransaction);
@@ -367,17 +364,4 @@
   co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-std::string
-PlatformLink::NewAttempt()
-{
-  constexpr std::size_t kHexDigits = 32;
-  std::array<char, kHexDigits + 1> text{};
-  std::snprintf(text.data(),
-                text.size(),
-                "%016llx%016llx",
-                static_cast<unsigned long long>(this->random()),
-                static_cast<unsigned long long>(this->random()));
-  return text.data();
-}
-
 }
--- a/links/platform_link.h
+++ b/links/platform_link.h
@@ -4,6 +4,7 @@
 #include "contracts/table_transaction.h"
 #include "contracts/write_outcome.h"
 #include "core/endpoint.h"
+#include "core/identity_source.h"
 #include "core/instant.h"
 #include "links/exchange_progress.h"
 #include "links/http_answer.h"
@@ -13,7 +14,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -87,14 +87,13 @@
                                                              Reason& aReason);
   boost::asio::awaitable<void> Pause(Milliseconds aTime);
   std::optional<HttpConnection> TakeKept(const Endpoint& aEndpoint);
-  std::string NewAttempt();
 
   boost::asio::io_context* context;
   std::vector<Endpoint> endpoints;
   /** Index of the endpoint that answered last. */
   std::size_t preferred = 0;
   std::vector<HttpConnection> kept;
-  std::mt19937_64 random;
+  IdentitySource identities;
   PlatformCounters counters;
   bool reachable = false;
 };
--- /dev/null
+++ b/tests/daemon/settings_keeper_test.cpp
@@ -0,0 +1,373 @@
+#include "daemon/settings_keeper.h"
+
+#include "daemon/fleet_adopter.h"
+#include "tests/daemon/fake_table.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+namespace sardinecourse {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int kHosts = 3;
+
+template<typename Value>
+asio::awaitable<void>
+Keep(asio::awaitable<Value> aCall, std::optional<Value>& aResult)
+{
+  Value value = co_await std::move(aCall);
+  aResult = std::move(value);
+}
+
+/** Runs a call whose awaited parts are all ready at once. */
+template<typename Value>
+Value
+Run(asio::awaitable<Value> aCall)
+{
+  asio::io_context context;
+  std::optional<Value> result;
+  asio::co_spawn(context, Keep(std::move(aCall), result), asio::detached);
+  context.run();
+  return *result;
+}
+
+void
+Run(asio::awaitable<void> aCall)
+{
+  asio::io_context context;
+  asio::co_spawn(context, std::move(aCall), asio::detached);
+  context.run();
+}
+
+/** Peers that know one revision, perhaps an old one. */
+class FakePeers
+{
+public:
+  std::optional<SettingsText> known;
+
+  void Announce(std::int64_t) {}
+  asio::awaitable<std::optional<SettingsText>> Ask(Reason& aReason)
+  {
+    aReason = Reason(Step::kPeerLink, "fake", "no peer answers");
+    co_return this->known;
+  }
+};
+
+using Keeper = SettingsKeeper<FakeTable, FakePeers, FleetAdopter>;
+
+/** One entry host that keeps its settings from the table. */
+struct Host
+{
+  explicit Host(FakeTable& aTable)
+    : adopter([this](const Fleet& aFleet) {
+      this->adopted.push_back(aFleet.Revision());
+    })
+    , keeper(this->context,
+             DataCentreName("east"),
+             aTable,
+             this->peers,
+             this->adopter)
+  {
+  }
+
+  asio::io_context context;
+  std::vector<std::int64_t> adopted;
+  FakePeers peers;
+  FleetAdopter adopter;
+  Keeper keeper;
+};
+
+std::string
+Yaml(int aNumber)
+{
+  return "name: fleet" + std::to_string(aNumber) + "\n";
+}
+
+SettingsProposal
+Propose(const std::string& aYaml, std::int64_t aExpected)
+{
+  return { aExpected, "operator", "note", "fleet.yaml", aYaml };
+}
+
+/** The oracle's state is the chain of texts in the table, so that the model has
+ * none of its own. */
+struct Model
+{};
+
+struct System
+{
+  System()
+  {
+    for (int count = 0; count < kHosts; ++count) {
+      this->hosts.push_back(std::make_unique<Host>(this->table));
+    }
+  }
+  FakeTable table;
+  std::vector<std::unique_ptr<Host>> hosts;
+};
+
+using Command = rc::state::Command<Model, System>;
+
+/** The oracle: the chain of texts in the table, read straight from its rows. */
+std::vector<std::string>
+Chain(const System& aSystem)
+{
+  std::vector<std::string> texts;
+  while (true) {
+    const auto revision = static_cast<std::int64_t>(texts.size()) + 1;
+    const TableRow row = aSystem.table.Row(SettingsTextKey(revision));
+    if (row.Revision() == 0) {
+      return texts;
+    }
+    texts.push_back(row.Value());
+  }
+}
+
+/** What holds after every step, whatever it was. */
+void
+CheckAlways(const std::vector<std::string>& aBefore, const System& aSystem)
+{
+  const std::vector<std::string> chain = Chain(aSystem);
+  RC_ASSERT(chain.size() >= aBefore.size());
+  RC_ASSERT(std::equal(aBefore.begin(), aBefore.end(), chain.begin()));
+  for (const auto& host : aSystem.hosts) {
+    RC_ASSERT(std::is_sorted(
+      host->adopted.begin(), host->adopted.end(), std::less_equal<>()));
+    const SettingsText& inForce = host->keeper.InForce();
+    const auto index = static_cast<std::size_t>(inForce.revision);
+    RC_ASSERT(index <= chain.size());
+    if (index > 0) {
+      RC_ASSERT(chain[index - 1] == inForce.yaml);
+    }
+  }
+}
+
+/** One operator proposes; perhaps another comes in between, or an answer is
+ * lost. */
+struct ProposeCommand : Command
+{
+  int host = *rc::gen::inRange(0, kHosts);
+  bool hasRival =
+    *rc::gen::weightedElement<bool>({ { 2, false }, { 1, true } });
+  std::int64_t behind =
+    *rc::gen::weightedElement<std::int64_t>({ { 5, 0 }, { 1, 1 }, { 1, -1 } });
+  TableFault fault = *rc::gen::element(TableFault::kNone,
+                                       TableFault::kLostApplied,
+                                       TableFault::kLostUnapplied,
+                                       TableFault::kNotWritten);
+  std::string yaml = Yaml(*rc::gen::arbitrary<int>());
+
+  void apply(Model&) const override {}
+
+  void run(const Model&, System& aSystem) const override
+  {
+    const std::vector<std::string> before = Chain(aSystem);
+    const auto newest = static_cast<std::int64_t>(before.size());
+    const std::int64_t expected = newest - this->behind;
+    if (this->hasRival) {
+      aSystem.table.beforeCommit = [this, &aSystem, expected] {
+        Host& rival = *aSystem.hosts[(this->host + 1) % kHosts];
+        Run(rival.keeper.Accept(Propose(this->yaml + "# rival\n", expected)));
+      };
+    }
+    aSystem.table.nextFault = this->hasRival ? TableFault::kNone : this->fault;
+    Keeper& keeper = aSystem.hosts[this->host]->keeper;
+    const SettingsAnswer answer =
+      Run(keeper.Accept(Propose(this->yaml, expected)));
+    aSystem.table.beforeCommit = nullptr;
+    aSystem.table.nextFault = TableFault::kNone;
+    this->CheckAnswer(answer, before, Chain(aSystem));
+    CheckAlways(before, aSystem);
+  }
+
+  /** At most one change was made, and the answer says whose it was. */
+  void CheckAnswer(const SettingsAnswer& aAnswer,
+                   const std::vector<std::string>& aBefore,
+                   const std::vector<std::string>& aAfter) const
+  {
+    RC_ASSERT(aAfter.size() <= aBefore.size() + 1);
+    const bool isMine =
+      aAfter.size() > aBefore.size() && aAfter.back() == this->yaml;
+    switch (aAnswer.outcome) {
+      case AcceptOutcome::kAccepted:
+        RC_ASSERT(isMine);
+        RC_ASSERT(this->behind == 0);
+        break;
+      case AcceptOutcome::kUnchanged:
+        RC_ASSERT(!aBefore.empty());
+        RC_ASSERT(aBefore.back() == this->yaml);
+        break;
+      case AcceptOutcome::kConflict:
+        RC_ASSERT(!isMine);
+        RC_ASSERT(aAnswer.record.has_value() || aAfter.empty());
+        break;
+      case AcceptOutcome::kUnreachable:
+      case AcceptOutcome::kInvalid:
+        RC_ASSERT(!isMine);
+        break;
+      case AcceptOutcome::kNotKnown:
+        RC_ASSERT(this->fault == TableFault::kLostUnapplied);
+        break;
+    }
+  }
+
+  void show(std::ostream& aStream) const override
+  {
+    aStream << "propose on host " << this->host << " rival " << this->hasRival
+            << " behind " << this->behind << " fault "
+            << static_cast<int>(this->fault);
+  }
+};
+
+struct PollCommand : Command
+{
+  int host = *rc::gen::inRange(0, kHosts);
+  bool isDown = *rc::gen::arbitrary<bool>();
+  /** The revision that the peers know, counted back from the newest. */
+  std::int64_t peersBehind = *rc::gen::inRange<std::int64_t>(0, 4);
+
+  void apply(Model&) const override {}
+
+  void run(const Model&, System& aSystem) const override
+  {
+    const std::vector<std::string> chain = Chain(aSystem);
+    const auto newest = static_cast<std::int64_t>(chain.size());
+    const std::int64_t known = newest - this->peersBehind;
+    Host& host = *aSystem.hosts[this->host];
+    if (known > 0) {
+      const auto index = static_cast<std::size_t>(known - 1);
+      host.peers.known = SettingsText{ known, chain[index] };
+      host.keeper.Heard(newest);
+    }
+    aSystem.table.isDown = this->isDown;
+    const std::int64_t before = host.keeper.InForce().revision;
+    Run(host.keeper.Poll());
+    aSystem.table.isDown = false;
+    const std::int64_t wanted = this->isDown ? std::max(before, known) : newest;
+    RC_ASSERT(host.keeper.InForce().revision == wanted);
+    CheckAlways(chain, aSystem);
+  }
+
+  void show(std::ostream& aStream) const override
+  {
+    aStream << "poll host " << this->host << " down " << this->isDown
+            << " peers behind " << this->peersBehind;
+  }
+};
+
+struct RestartCommand : Command
+{
+  int host = *rc::gen::inRange(0, kHosts);
+
+  void apply(Model&) const override {}
+  void run(const Model&, System& aSystem) const override
+  {
+    aSystem.hosts[this->host] = std::make_unique<Host>(aSystem.table);
+  }
+  void show(std::ostream& aStream) const override
+  {
+    aStream << "restart host " << this->host;
+  }
+};
+
+}
+
+class SettingsKeeperTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SettingsKeeperTest);
+  CPPUNIT_TEST(OneWinnerAndNoWayBack);
+  CPPUNIT_TEST(RefusesAndNamesTheOtherChange);
+  CPPUNIT_TEST(RefusesAnOldFileWithoutItsRevision);
+  CPPUNIT_TEST(RefusesGuaranteesThatCannotFit);
+  CPPUNIT_TEST(KeepsOnlyTheLastTexts);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void OneWinnerAndNoWayBack()
+  {
+    const bool holds = rc::check("settings only go forward", [] {
+      System system;
+      rc::state::check(Model(),
+                       system,
+                       rc::state::gen::execOneOfWithArgs<ProposeCommand,
+                                                         PollCommand,
+                                                         RestartCommand>());
+    });
+    CPPUNIT_ASSERT(holds);
+  }
+
+  void RefusesAndNamesTheOtherChange()
+  {
+    System system;
+    Keeper& keeper = system.hosts[0]->keeper;
+    SettingsProposal first = Propose(Yaml(1), 0);
+    first.who = "ada";
+    first.note = "more luthiers";
+    CPPUNIT_ASSERT(Run(keeper.Accept(first)).outcome ==
+                   AcceptOutcome::kAccepted);
+    const SettingsAnswer answer =
+      Run(system.hosts[1]->keeper.Accept(Propose(Yaml(2), 0)));
+    CPPUNIT_ASSERT(answer.outcome == AcceptOutcome::kConflict);
+    CPPUNIT_ASSERT_EQUAL(std::string("ada"), answer.record->Who());
+    CPPUNIT_ASSERT(answer.reason.Text().find("revision 1 by ada at") !=
+                   std::string::npos);
+    CPPUNIT_ASSERT(answer.reason.Text().find("(more luthiers)") !=
+                   std::string::npos);
+  }
+
+  void RefusesAnOldFileWithoutItsRevision()
+  {
+    System system;
+    Keeper& keeper = system.hosts[0]->keeper;
+    for (int number = 1; number <= 2; ++number) {
+      Run(keeper.Accept(Propose(Yaml(number), number - 1)));
+    }
+    SettingsProposal old = Propose(Yaml(1), 0);
+    old.expectedRevision.reset();
+    CPPUNIT_ASSERT(Run(keeper.Accept(old)).outcome == AcceptOutcome::kConflict);
+    old.expectedRevision = 2;
+    CPPUNIT_ASSERT(Run(keeper.Accept(old)).outcome == AcceptOutcome::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 3 }, keeper.InForce().revision);
+  }
+
+  void RefusesGuaranteesThatCannotFit()
+  {
+    System system;
+    const std::string yaml =
+      "name: f\ndata_centres:\n  east:\n    racks:\n      r1:\n"
+      "        workers:\n          w1: {address: 127.0.0.1:3, accelerators: 4, "
+      "cores: 1, memory_mb: 1}\n    teams:\n      luthiers:\n"
+      "        quota: 8\n        guarantees:\n"
+      "          - {members: 1, accelerators_per_member: 8}\n";
+    const SettingsAnswer answer =
+      Run(system.hosts[0]->keeper.Accept(Propose(yaml, 0)));
+    CPPUNIT_ASSERT(answer.outcome == AcceptOutcome::kInvalid);
+    CPPUNIT_ASSERT_MESSAGE(answer.reason.Message(),
+                           answer.reason.Message().find("luthiers") !=
+                             std::string::npos);
+  }
+
+  void KeepsOnlyTheLastTexts()
+  {
+    System system;
+    Keeper& keeper = system.hosts[0]->keeper;
+    for (int number = 1; number <= kKeptTexts + 1; ++number) {
+      Run(keeper.Accept(Propose(Yaml(number), number - 1)));
+    }
+    CPPUNIT_ASSERT(system.table.Row(SettingsTextKey(1)).Revision() == 0);
+    CPPUNIT_ASSERT(system.table.Row(SettingsTextKey(2)).Revision() != 0);
+    Reason reason;
+    const auto history = Run(keeper.History(kKeptTexts + 1, reason));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ kKeptTexts + 1 }, history->size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsKeeperTest);
+
+}
--- a/tests/history/link_faults_test.cpp
+++ b/tests/history/link_faults_test.cpp
@@ -6,6 +6,7 @@
 #include "tests/harness/loopback.h"
 #include "tests/harness/process.h"
 #include "tests/harness/relay.h"
+#include "tests/harness/settings_client.h"
 #include "tests/harness/test_folder.h"
 #include "zones/data_centre_builder.h"
 #include "zones/fleet_builder.h"
@@ -35,14 +36,18 @@
     const Process minion(
       "tests/minion_stand_in", { minionAddress.Text() }, folder.File("minion"));
     Relay relay(FreeEndpoint(), minionAddress);
+    const Endpoint platformAddress = FreeEndpoint();
+    const Process platform("tests/platform_stand_in",
+                           { "--listen", platformAddress.Text() },
+                           folder.File("platform"));
     const EntryHost host = MakeHost();
     Process daemon(
       "sardinecoursed",
       { "--settings",
-        folder.Write("host.yaml", MakeSettings(host)),
-        "--fleet",
-        folder.Write("fleet.yaml", MakeFleet(host, relay.Address())) },
+        folder.Write("host.yaml", MakeSettings(host, platformAddress)) },
       folder.File("daemon"));
+    CPPUNIT_ASSERT(PutFirstSettingsInForce(
+      host.Callers(), MakeFleet(host, relay.Address()), kTimeout));
     CPPUNIT_ASSERT(
       WaitForHttp(host.Callers(), "/services/fretdesk/a", 200, kTimeout));
     relay.Set(RelayMode::kCut);
@@ -68,11 +73,13 @@
     return builder.Build(reason).value();
   }
 
-  static std::string MakeSettings(const EntryHost& aHost)
+  static std::string MakeSettings(const EntryHost& aHost,
+                                  const Endpoint& aPlatform)
   {
     Reason reason;
-    return HostSettingsYaml(
-      HostSettingsBuilder().Host(aHost).Build(reason).value());
+    HostSettingsBuilder builder;
+    builder.Host(aHost).Platform({ aPlatform });
+    return HostSettingsYaml(builder.Build(reason).value());
   }
 
   static std::string MakeFleet(const EntryHost& aHost, const Endpoint& aMinion)
