Add what travels on the peer links: settings, loads, leaving, promises

Cause: hosts of a data centre share minions and leases without a coordinator, and have to spread settings while the platform is away.

Change: daemon/peer_exchange tells peers of the revision in force and answers for its text, tells the data centre of requests in flight by changes (16 minions a second at most, whole after a reconnect or a new revision), of minions seen leaving, of changes of the queue, and asks the electorate for promises. Loads that were not told are unknown, never zero. Messages lost fields that nothing used. Sockets now send at once: the option was set before the socket was open, and had no effect.

--- a/codecs/peer_cbor.cpp
+++ b/codecs/peer_cbor.cpp
@@ -38,15 +38,15 @@
   } else if constexpr (std::is_same_v<Plain, SettingsReply>) {
     return std::tie(aMessage.request, aMessage.revision, aMessage.text);
   } else if constexpr (std::is_same_v<Plain, MinionLoads>) {
-    return std::tie(aMessage.revision, aMessage.loads);
+    return std::tie(aMessage.revision, aMessage.isWhole, aMessage.loads);
   } else if constexpr (std::is_same_v<Plain, MinionLeaving>) {
-    return std::tie(aMessage.minion, aMessage.ageMs);
+    return std::tie(aMessage.minion);
   } else if constexpr (std::is_same_v<Plain, PromiseRequest>) {
-    return std::tie(aMessage.request, aMessage.term, aMessage.durationMs);
+    return std::tie(aMessage.request, aMessage.term);
   } else if constexpr (std::is_same_v<Plain, PromiseReply>) {
     return std::tie(aMessage.request, aMessage.granted);
   } else if constexpr (std::is_same_v<Plain, QueueNotice>) {
-    return std::tie(aMessage.dataCentre);
+    return std::tie();
   } else {
     static_assert(std::is_same_v<Plain, HostLeaving>);
     return std::tie(aMessage.incarnation);
--- a/contracts/minion_leaving.h
+++ b/contracts/minion_leaving.h
@@ -3,7 +3,6 @@
 #include "core/names.h"
 
 #include <compare>
-#include <cstdint>
 
 namespace sardinecourse {
 
@@ -11,8 +10,6 @@
 struct MinionLeaving
 {
   MinionName minion;
-  /** Time from the first sign to the sending. */
-  std::int64_t ageMs = 0;
 
   auto operator<=>(const MinionLeaving&) const = default;
 };
--- a/contracts/promise_request.h
+++ b/contracts/promise_request.h
@@ -5,15 +5,13 @@
 
 namespace sardinecourse {
 
-/** The sender asks the receiver not to take over its racks for a time, because
- * it cannot renew its lease. */
+/** The sender asks the receiver not to take over its racks for the length of a
+ * lease, because it cannot renew its lease. */
 struct PromiseRequest
 {
   std::int64_t request = 0;
   /** Term of the lease that the sender holds. */
   std::int64_t term = 0;
-  /** Length of the promise, from its receipt. */
-  std::int64_t durationMs = 0;
 
   auto operator<=>(const PromiseRequest&) const = default;
 };
--- a/contracts/queue_notice.h
+++ b/contracts/queue_notice.h
@@ -1,18 +1,13 @@
 #pragma once
 
-#include "core/names.h"
-
 #include <compare>
-#include <cstdint>
 
 namespace sardinecourse {
 
-/** Jobs of a data centre were admitted or cancelled, so that its holders need
- * not wait for their next poll. */
+/** Jobs of the receiver's data centre were admitted or cancelled, so that its
+ * holder need not wait for its next poll. */
 struct QueueNotice
 {
-  DataCentreName dataCentre;
-
   auto operator<=>(const QueueNotice&) const = default;
 };
 
--- /dev/null
+++ b/daemon/peer_exchange.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "contracts/promise_answer.h"
+#include "contracts/settings_text.h"
+#include "daemon/peer_owner.h"
+#include "links/peer_links.h"
+#include "links/peer_probe.h"
+#include "machines/host_settings.h"
+#include "machines/minion_slot.h"
+#include "zones/fleet.h"
+#include "zones/load_changes.h"
+#include "zones/peer_loads.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace sardinecourse {
+
+/**
+ * What entry hosts tell and ask each other: settings, requests in flight,
+ * leaving minions, promises, changes of the queue. It runs on the control
+ * thread. The constructor bears the constraint, because the daemon that owns it
+ * is not complete yet where it is a member.
+ */
+template<typename Owner>
+class PeerExchange
+{
+public:
+  using Slots = std::vector<std::shared_ptr<MinionSlot>>;
+
+  PeerExchange(boost::asio::io_context& aContext,
+               const HostSettings& aSettings,
+               Owner& aOwner) requires PeerOwner<Owner>
+    : context(&aContext)
+    , self(aSettings.Host())
+    , owner(&aOwner)
+    , links(aContext, aSettings.Host(), NewIncarnation(), *this)
+    , timer(aContext)
+  {
+    this->links.SetSeeds(aSettings.Peers());
+  }
+
+  bool Start(Reason& aReason)
+  {
+    if (!this->links.Start(aReason)) {
+      return false;
+    }
+    this->Tick();
+    return true;
+  }
+
+  /** Takes the peers of the settings in force, and the own data centre's
+   * minions in the order of the settings. */
+  void Adopt(const Fleet& aFleet, const Slots& aMinions);
+
+  // What the settings keeper needs (SettingsPeers).
+  void Announce(std::int64_t aRevision) { this->links.Announce(aRevision); }
+  boost::asio::awaitable<std::optional<SettingsText>> Ask(Reason& aReason);
+
+  // What the lease keeper needs (PromisePeers).
+  boost::asio::awaitable<PromiseAnswer> AskPromise(HostName aHost,
+                                                   std::int64_t aTerm);
+
+  /** Tells the hosts of a data centre that its queue changed. */
+  void TellQueueChange(const DataCentreName& aDataCentre)
+  {
+    this->links.BroadcastTo(aDataCentre, QueueNotice());
+  }
+
+  /** Requests that the other hosts of this data centre have in flight at each
+   * of its minions, in the order given to Adopt(); empty where not known. */
+  std::vector<std::optional<std::int32_t>> PeersInFlight() const;
+  /** Entry hosts of this data centre that may be serving, this one among them.
+   */
+  std::int32_t ServingHosts() const;
+
+  PeerView View() const { return this->links.View(Clock::now()); }
+  const PeerTraffic& Traffic() const { return this->links.Traffic(); }
+
+  void AnnounceLeaving() { this->links.AnnounceLeaving(); }
+  void Stop()
+  {
+    this->timer.cancel();
+    this->links.Stop();
+  }
+
+  // What the links tell (PeerListener).
+  void PeerUp(const HostName& aPeer) { this->wholeTold.erase(aPeer); }
+  void PeerDown(const HostName& aPeer);
+  void PeerRevision(const HostName& /*aPeer*/, std::int64_t aRevision)
+  {
+    this->owner->HeardRevision(aRevision);
+  }
+  void Receive(const HostName& aPeer, const PeerMessage& aMessage);
+
+private:
+  static constexpr Milliseconds kTick{ 200 };
+  /** Loads are told at each of this many ticks. */
+  static constexpr int kTicksPerLoads = 5;
+  /** Loads told in one message, which bounds the traffic of a busy host. */
+  static constexpr std::size_t kMostLoads = 16;
+  static constexpr Milliseconds kSettingsTimeout{ 2000 };
+  static constexpr Milliseconds kPromiseTimeout{ 1000 };
+
+  static std::int64_t NewIncarnation()
+  {
+    return static_cast<std::int64_t>(std::random_device{}());
+  }
+
+  void Tick();
+  void TellLeaving();
+  void TellLoads();
+  std::vector<PeerStanding> PeersWithin() const;
+
+  boost::asio::io_context* context;
+  EntryHost self;
+  Owner* owner;
+  PeerLinks<PeerExchange> links;
+  boost::asio::steady_timer timer;
+  int ticks = 0;
+  std::int64_t revision = 0;
+  std::map<HostName, EntryHost> hosts;
+  Slots minions;
+  /** Minions whose leaving was told or heard. */
+  std::set<MinionName> leaving;
+  std::vector<std::int64_t> loadsTold;
+  /** Peers that know all loads of the revision in force. */
+  std::map<HostName, std::int64_t> wholeTold;
+  PeerLoads peerLoads;
+};
+
+}
+
+#include "daemon/peer_exchange_inl.h"
--- a/links/peer_links.h
+++ b/links/peer_links.h
@@ -95,10 +95,11 @@
   {
     return this->BroadcastIf(aMessage, [](const PeerRecord&) { return true; });
   }
-  std::size_t BroadcastWithin(const PeerMessage& aMessage)
+  std::size_t BroadcastTo(const DataCentreName& aDataCentre,
+                          const PeerMessage& aMessage)
   {
-    return this->BroadcastIf(aMessage, [this](const PeerRecord& aPeer) {
-      return this->IsWithin(aPeer);
+    return this->BroadcastIf(aMessage, [&aDataCentre](const PeerRecord& aPeer) {
+      return aPeer.sighting.dataCentre == aDataCentre;
     });
   }
 
--- a/links/peer_socket.cpp
+++ b/links/peer_socket.cpp
@@ -69,6 +69,16 @@
   std::function<void()> close;
 };
 
+/** Small messages must not wait for the acknowledgement of earlier ones. */
+template<typename Established>
+void
+SendAtOnce(Established& aConnection)
+{
+  boost::system::error_code ignored;
+  aConnection.get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true),
+                                          ignored);
+}
+
 }
 
 struct PeerSocket::State : public std::enable_shared_from_this<State>
@@ -83,7 +93,6 @@
   void Prepare(Endpoint& aEndpoint);
   template<typename Pointer>
   void Watch(const Pointer& aConnection, Id aId);
-  void Accept(const Server::connection_ptr& aConnection);
   void PostEnd(Id aId, const std::string& aError);
 
   boost::asio::io_context* context;
@@ -102,11 +111,6 @@
   aEndpoint.clear_access_channels(websocketpp::log::alevel::all);
   aEndpoint.clear_error_channels(websocketpp::log::elevel::all);
   aEndpoint.init_asio(this->context);
-  aEndpoint.set_socket_init_handler(
-    [](const auto&, boost::asio::ip::tcp::socket& aSocket) {
-      boost::system::error_code ignored;
-      aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    });
 }
 
 template<typename Pointer>
@@ -155,12 +159,6 @@
   };
 }
 
-void
-PeerSocket::State::Accept(const Server::connection_ptr& aConnection)
-{
-  this->Watch(aConnection, this->next++);
-}
-
 /** The library reports some ends from inside our own calls, so the report goes
  * round by the event loop. */
 void
@@ -183,17 +181,27 @@
   this->state->server.set_reuse_addr(true);
   this->state->server.set_listen_backlog(kBacklog);
   const std::weak_ptr<State> weak = this->state;
-  // TCP sessions get their number before the handshake, so that an unfinished
-  // one is dropped with the others.
   this->state->server.set_tcp_pre_init_handler(
     [weak](const websocketpp::connection_hdl& aHandle) {
       const auto self = weak.lock();
       websocketpp::lib::error_code error;
-      if (self) {
-        const auto connection = self->server.get_con_from_hdl(aHandle, error);
-        if (connection) {
-          self->Accept(connection);
-        }
+      const auto connection =
+        self ? self->server.get_con_from_hdl(aHandle, error) : nullptr;
+      if (connection) {
+        SendAtOnce(*connection);
+        // It gets its number before the handshake, so that an unfinished one is
+        // dropped with the others.
+        self->Watch(connection, self->next++);
+      }
+    });
+  this->state->client.set_tcp_pre_init_handler(
+    [weak](const websocketpp::connection_hdl& aHandle) {
+      const auto self = weak.lock();
+      websocketpp::lib::error_code error;
+      const auto connection =
+        self ? self->client.get_con_from_hdl(aHandle, error) : nullptr;
+      if (connection) {
+        SendAtOnce(*connection);
       }
     });
 }
--- a/tests/codecs/peer_cbor_test.cpp
+++ b/tests/codecs/peer_cbor_test.cpp
@@ -46,11 +46,11 @@
     PeerHeartbeat{ AnyCount() },
     SettingsRequest{ AnyCount(), AnyCount() },
     SettingsReply{ AnyCount(), AnyCount(), text },
-    MinionLoads{ AnyCount(), AnyLoads() },
-    MinionLeaving{ AnyNameOf<MinionName>(), AnyCount() },
-    PromiseRequest{ AnyCount(), AnyCount(), AnyCount() },
+    MinionLoads{ AnyCount(), *rc::gen::arbitrary<bool>(), AnyLoads() },
+    MinionLeaving{ AnyNameOf<MinionName>() },
+    PromiseRequest{ AnyCount(), AnyCount() },
     PromiseReply{ AnyCount(), *rc::gen::arbitrary<bool>() },
-    QueueNotice{ dataCentre },
+    QueueNotice{},
     HostLeaving{ AnyCount() }
   };
   RC_ASSERT(messages.size() == std::variant_size_v<PeerMessage>);
--- a/tests/history/peer_links_test.cpp
+++ b/tests/history/peer_links_test.cpp
@@ -79,8 +79,8 @@
     for (const Host& host : this->hosts) {
       CPPUNIT_ASSERT_EQUAL(2, host.ups);
     }
-    const std::size_t within =
-      this->hosts.front().links.BroadcastWithin(MinionLoads{ 9, { { 0, 3 } } });
+    const std::size_t within = this->hosts.front().links.BroadcastTo(
+      DataCentreName("east"), QueueNotice());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, within);
   }
 
@@ -99,7 +99,7 @@
       reply = co_await links.Ask<SettingsReply>(
         other, request, Milliseconds(1000), reason);
       // Nobody answers this one in the test.
-      const PromiseRequest unanswered{ 0, 1, 1000 };
+      const PromiseRequest unanswered{ 0, 1 };
       promise = co_await links.Ask<PromiseReply>(
         other, unanswered, Milliseconds(200), reason);
       isDone = true;
--- /dev/null
+++ b/tests/zones/peer_loads_test.cpp
@@ -0,0 +1,157 @@
+#include "zones/load_changes.h"
+#include "zones/peer_loads.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+namespace sardinecourse {
+
+namespace {
+
+constexpr std::size_t kMinions = 5;
+constexpr std::size_t kMostChanges = 2;
+constexpr std::int64_t kMostInFlight = 9;
+
+const HostName kPeer("a");
+
+/** Oracle: the counts at the sender, and the revision that each side is at. */
+struct Oracle
+{
+  std::vector<std::int64_t> counts = std::vector<std::int64_t>(kMinions);
+  std::vector<std::int64_t> told = std::vector<std::int64_t>(kMinions);
+  std::int64_t senderRevision = 1;
+  std::int64_t receiverRevision = 1;
+  bool receiverKnows = false;
+};
+
+struct Receiver
+{
+  PeerLoads loads{ 1 };
+};
+
+using LoadCommand = rc::state::Command<Oracle, Receiver>;
+
+/** The sender's counts change and it tells some of it, or all. */
+struct Tell : public LoadCommand
+{
+  std::vector<std::int64_t> counts =
+    *rc::gen::container<std::vector<std::int64_t>>(
+      kMinions,
+      rc::gen::inRange<std::int64_t>(0, kMostInFlight));
+  bool isWhole = *rc::gen::arbitrary<bool>();
+
+  MinionLoads Message(const Oracle& aOracle) const
+  {
+    const std::vector<std::int64_t> nothing(kMinions);
+    return { aOracle.senderRevision,
+             this->isWhole,
+             this->isWhole
+               ? ChangedLoads(nothing, this->counts, kMinions)
+               : ChangedLoads(aOracle.told, this->counts, kMostChanges) };
+  }
+
+  void apply(Oracle& aOracle) const override
+  {
+    const MinionLoads message = this->Message(aOracle);
+    aOracle.counts = this->counts;
+    if (this->isWhole) {
+      aOracle.told = this->counts;
+    }
+    for (const MinionLoad& load : message.loads) {
+      aOracle.told[static_cast<std::size_t>(load.index)] = load.inFlight;
+    }
+    const bool isSame = aOracle.senderRevision == aOracle.receiverRevision;
+    aOracle.receiverKnows = isSame && (this->isWhole || aOracle.receiverKnows);
+  }
+
+  void run(const Oracle& aOracle, Receiver& aReceiver) const override
+  {
+    const MinionLoads message = this->Message(aOracle);
+    RC_ASSERT(this->isWhole || message.loads.size() <= kMostChanges);
+    aReceiver.loads = aReceiver.loads.Told(kPeer, message);
+    Oracle after = aOracle;
+    this->apply(after);
+    for (std::size_t index = 0; index < kMinions; ++index) {
+      const auto inFlight = aReceiver.loads.InFlight({ kPeer }, index);
+      // What is not known must never be taken for zero.
+      RC_ASSERT(inFlight.has_value() == after.receiverKnows);
+      RC_ASSERT(!inFlight || *inFlight == after.told[index]);
+    }
+  }
+
+  void show(std::ostream& aStream) const override
+  {
+    aStream << "Tell whole=" << this->isWhole;
+  }
+};
+
+struct AdoptAtReceiver : public LoadCommand
+{
+  void apply(Oracle& aOracle) const override
+  {
+    aOracle.receiverRevision += 1;
+    aOracle.receiverKnows = false;
+  }
+  void run(const Oracle& aOracle, Receiver& aReceiver) const override
+  {
+    aReceiver.loads = PeerLoads(aOracle.receiverRevision + 1);
+  }
+};
+
+struct AdoptAtSender : public LoadCommand
+{
+  void apply(Oracle& aOracle) const override
+  {
+    aOracle.senderRevision += 1;
+    aOracle.told.assign(kMinions, 0);
+  }
+  void run(const Oracle& /*aOracle*/, Receiver& /*aReceiver*/) const override {}
+};
+
+class PeerLoadsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PeerLoadsTest);
+  CPPUNIT_TEST(KnowsWhatWasToldAndNothingElse);
+  CPPUNIT_TEST(SumsOnlyWhenEveryPeerTold);
+  CPPUNIT_TEST(TellsTheGreatestChangesFirst);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void KnowsWhatWasToldAndNothingElse()
+  {
+    CPPUNIT_ASSERT(rc::check("loads told in any order", [] {
+      Receiver receiver;
+      rc::state::check(Oracle(),
+                       receiver,
+                       rc::state::gen::execOneOfWithArgs<Tell,
+                                                         AdoptAtReceiver,
+                                                         AdoptAtSender>());
+    }));
+  }
+
+  void SumsOnlyWhenEveryPeerTold()
+  {
+    const HostName other("b");
+    PeerLoads loads = PeerLoads(4).Told(kPeer, { 4, true, { { 1, 3 } } });
+    CPPUNIT_ASSERT(!loads.InFlight({ kPeer, other }, 1).has_value());
+    loads = loads.Told(other, { 4, true, { { 1, 2 } } });
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 5 },
+                         loads.InFlight({ kPeer, other }, 1).value());
+    loads = loads.Forgot(kPeer);
+    CPPUNIT_ASSERT(!loads.InFlight({ kPeer, other }, 1).has_value());
+  }
+
+  void TellsTheGreatestChangesFirst()
+  {
+    const std::vector<MinionLoad> expected{ { 1, 9 }, { 3, 0 } };
+    CPPUNIT_ASSERT(ChangedLoads({ 1, 1, 1, 5 }, { 2, 9, 1, 0 }, 2) == expected);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerLoadsTest);
+
+}
+
+}
--- /dev/null
+++ b/zones/load_changes.cpp
@@ -0,0 +1,39 @@
+#include "zones/load_changes.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace sardinecourse {
+
+std::vector<MinionLoad>
+ChangedLoads(const std::vector<std::int64_t>& aTold,
+             const std::vector<std::int64_t>& aNow,
+             std::size_t aMost)
+{
+  const auto toldOf = [&aTold](std::size_t aIndex) {
+    return aIndex < aTold.size() ? aTold[aIndex] : 0;
+  };
+  std::vector<MinionLoad> changed;
+  for (std::size_t index = 0; index < aNow.size(); ++index) {
+    if (aNow[index] != toldOf(index)) {
+      changed.push_back({ static_cast<std::int64_t>(index), aNow[index] });
+    }
+  }
+  if (changed.size() <= aMost) {
+    return changed;
+  }
+  const auto differenceOf = [&toldOf](const MinionLoad& aLoad) {
+    return std::abs(aLoad.inFlight -
+                    toldOf(static_cast<std::size_t>(aLoad.index)));
+  };
+  std::stable_sort(changed.begin(),
+                   changed.end(),
+                   [&](const MinionLoad& aLeft, const MinionLoad& aRight) {
+                     return differenceOf(aLeft) > differenceOf(aRight);
+                   });
+  changed.resize(aMost);
+  std::sort(changed.begin(), changed.end());
+  return changed;
+}
+
+}
--- /dev/null
+++ b/zones/peer_loads.cpp
@@ -0,0 +1,56 @@
+#include "zones/peer_loads.h"
+
+namespace sardinecourse {
+
+PeerLoads::PeerLoads(std::int64_t aRevision)
+  : revision(aRevision)
+{
+}
+
+PeerLoads
+PeerLoads::Told(const HostName& aPeer, const MinionLoads& aLoads) const
+{
+  if (aLoads.revision != this->revision) {
+    return this->Forgot(aPeer);
+  }
+  PeerLoads next = *this;
+  if (aLoads.isWhole) {
+    next.loads[aPeer].clear();
+  }
+  // A change says nothing to someone who does not know what changed.
+  const auto known = next.loads.find(aPeer);
+  if (known == next.loads.end()) {
+    return next;
+  }
+  std::map<std::int64_t, std::int64_t>& told = known->second;
+  for (const MinionLoad& load : aLoads.loads) {
+    told[load.index] = load.inFlight;
+  }
+  return next;
+}
+
+PeerLoads
+PeerLoads::Forgot(const HostName& aPeer) const
+{
+  PeerLoads next = *this;
+  next.loads.erase(aPeer);
+  return next;
+}
+
+std::optional<std::int64_t>
+PeerLoads::InFlight(const std::vector<HostName>& aPeers,
+                    std::size_t aIndex) const
+{
+  std::int64_t sum = 0;
+  for (const HostName& peer : aPeers) {
+    const auto told = this->loads.find(peer);
+    if (told == this->loads.end()) {
+      return std::nullopt;
+    }
+    const auto load = told->second.find(static_cast<std::int64_t>(aIndex));
+    sum += load == told->second.end() ? 0 : load->second;
+  }
+  return sum;
+}
+
+}
--- a/zones/peer_timing.h
+++ b/zones/peer_timing.h
@@ -18,13 +18,13 @@
 };
 
 /** Hosts of one data centre share minions and leases, so they watch closely. */
-constexpr PeerTiming kTimingWithin{ Milliseconds(1000),
-                                    Milliseconds(3000),
+constexpr PeerTiming kTimingWithin{ Milliseconds(1500),
+                                    Milliseconds(4000),
                                     Milliseconds(30000) };
 /** Heartbeats between data centres are most of the connections at full size, so
  * they are kept rare. */
-constexpr PeerTiming kTimingBetween{ Milliseconds(4000),
-                                     Milliseconds(10000),
-                                     Milliseconds(60000) };
+constexpr PeerTiming kTimingBetween{ Milliseconds(8000),
+                                     Milliseconds(20000),
+                                     Milliseconds(120000) };
 
 }
