Join the peer exchange to the daemon

Cause: the daemon had no peers, so a revision reached other hosts only by their polls of the platform, and a minion's leaving only host by host.

Change: the settings keeper announces to and asks peers; loads told by the peers set the slot shares; leaving minions are told and heard; a planned stop is announced; /status and the log show which peers are live, suspected, gone or unknown. Destroying links while their io_context still runs no longer leaves handlers that point to them: the links test crashed on that in 1 of 10 runs.

Conclusion: promises are still refused, until the daemon keeps a lease.

--- a/codecs/status_json.cpp
+++ b/codecs/status_json.cpp
@@ -12,6 +12,13 @@
 std::string
 EncodeHostStatus(const HostStatus& aStatus)
 {
+  json peers = json::array();
+  for (const PeerReport& peer : aStatus.peers) {
+    peers.push_back({ { "host", peer.host.Text() },
+                      { "data_centre", peer.dataCentre.Text() },
+                      { "state", peer.state },
+                      { "revision", peer.revision } });
+  }
   const json message{ { "host", aStatus.host.Text() },
                       { "data_centre", aStatus.dataCentre.Text() },
                       { "version", aStatus.version },
@@ -19,7 +26,8 @@
                       { "platform_reachable", aStatus.platformReachable },
                       { "platform_reads", aStatus.platformReads },
                       { "platform_writes", aStatus.platformWrites },
-                      { "uptime_s", aStatus.uptime.count() } };
+                      { "uptime_s", aStatus.uptime.count() },
+                      { "peers", peers } };
   return message.dump();
 }
 
@@ -40,6 +48,13 @@
     status.platformWrites = message.at("platform_writes").get<std::uint64_t>();
     status.uptime =
       std::chrono::seconds(message.at("uptime_s").get<std::int64_t>());
+    for (const json& peer : message.at("peers")) {
+      status.peers.push_back(
+        { HostName(peer.at("host").get<std::string>()),
+          DataCentreName(peer.at("data_centre").get<std::string>()),
+          peer.at("state").get<std::string>(),
+          peer.at("revision").get<std::int64_t>() });
+    }
     return status;
   } catch (const json::exception& error) {
     aReason = Reason(Step::kDecode, "", error.what());
--- a/contracts/host_status.h
+++ b/contracts/host_status.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "contracts/peer_report.h"
 #include "core/names.h"
 
 #include <chrono>
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace sardinecourse {
 
@@ -21,6 +23,8 @@
   std::uint64_t platformReads = 0;
   std::uint64_t platformWrites = 0;
   std::chrono::seconds uptime{ 0 };
+  /** Every other entry host. */
+  std::vector<PeerReport> peers;
 
   auto operator<=>(const HostStatus&) const = default;
 };
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -31,16 +31,19 @@
   , controlWork(this->control.get_executor())
   , stopTimer(this->control)
   , platform(this->control, this->settings.Platform())
+  , peers(this->control, this->settings, *this)
   , adopter([this](const Fleet& aFleet) { this->Adopt(aFleet); })
   , keeper(this->control,
            this->settings.Host().DataCentre(),
            this->platform,
-           this->settingsPeers,
+           this->peers,
            this->adopter)
-  , operators(
-      this->control,
-      this->keeper,
-      StatusResource(this->settings.Host(), this->keeper, this->platform))
+  , operators(this->control,
+              this->keeper,
+              StatusResource(this->settings.Host(),
+                             this->keeper,
+                             this->platform,
+                             this->peers))
   , minions(this->settings.Host().DataCentre())
   , requests(this->settings.Host().Name(),
              this->control,
@@ -55,7 +58,7 @@
 Daemon::Run(Reason& aReason)
 {
   const RcuThread rcuThread;
-  if (!this->StartServing(aReason)) {
+  if (!this->peers.Start(aReason) || !this->StartServing(aReason)) {
     return false;
   }
   boost::asio::signal_set signals(this->control, SIGTERM, SIGINT);
@@ -79,9 +82,50 @@
   const SettingsScope here{ this->settings.Host().DataCentre(), {}, {} };
   SetLogLevel(aFleet.Settings().Resolve(here).LogLevel());
   this->requests.minions.Publish(this->minions.Adopt(aFleet));
+  this->peers.Adopt(aFleet, this->minions.Home());
+  this->HeardLoads();
   this->requests.readiness.SettingsInForce();
 }
 
+const SettingsText&
+Daemon::SettingsInForce() const
+{
+  return this->keeper.InForce();
+}
+
+void
+Daemon::HeardRevision(std::int64_t aRevision)
+{
+  this->keeper.Heard(aRevision);
+}
+
+void
+Daemon::HeardLeaving(const MinionName& aMinion)
+{
+  const std::shared_ptr<MinionSlot> slot = this->minions.Find(aMinion);
+  if (slot) {
+    slot->MarkLeaving();
+  }
+}
+
+void
+Daemon::HeardLoads()
+{
+  this->minions.Share(this->peers.ServingHosts(), this->peers.PeersInFlight());
+}
+
+void
+Daemon::HeardQueueChange()
+{
+}
+
+/** A host that keeps no lease cannot keep a promise about one. */
+bool
+Daemon::Promise(const HostName& /*aHolder*/, std::int64_t /*aTerm*/)
+{
+  return false;
+}
+
 bool
 Daemon::StartServing(Reason& aReason)
 {
@@ -106,6 +150,7 @@
   LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"),
                  "planned_stop step=readiness_off");
   this->requests.readiness.StartDraining();
+  this->peers.AnnounceLeaving();
   for (const std::unique_ptr<ServingThread>& thread : this->serving) {
     thread->CloseAfterAnswers();
   }
@@ -140,6 +185,7 @@
     if (!aError) {
       LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"),
                      "planned_stop step=done");
+      this->peers.Stop();
       this->control.stop();
     }
   });
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/daemon_peers.h"
 #include "daemon/host_settings_keeper.h"
 #include "daemon/minion_registry.h"
 #include "daemon/operator_api.h"
@@ -40,6 +41,14 @@
    * thread. */
   void Adopt(const Fleet& aFleet);
 
+  // What other entry hosts tell and ask (PeerOwner).
+  const SettingsText& SettingsInForce() const;
+  void HeardRevision(std::int64_t aRevision);
+  void HeardLeaving(const MinionName& aMinion);
+  void HeardLoads();
+  void HeardQueueChange();
+  bool Promise(const HostName& aHolder, std::int64_t aTerm);
+
 private:
   bool StartServing(Reason& aReason);
   /** Turns readiness off, then drains, then ends the control loop. */
@@ -53,7 +62,7 @@
     controlWork;
   boost::asio::steady_timer stopTimer;
   PlatformLink platform;
-  NoSettingsPeers settingsPeers;
+  DaemonPeers peers;
   FleetAdopter adopter;
   HostSettingsKeeper keeper;
   OperatorApi operators;
--- a/daemon/host_settings_keeper.h
+++ b/daemon/host_settings_keeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "daemon/daemon_peers.h"
 #include "daemon/fleet_adopter.h"
-#include "daemon/no_settings_peers.h"
 #include "daemon/settings_keeper.h"
 #include "links/platform_link.h"
 
@@ -9,6 +9,6 @@
 
 /** The settings keeper as the daemon runs it. */
 using HostSettingsKeeper =
-  SettingsKeeper<PlatformLink, NoSettingsPeers, FleetAdopter>;
+  SettingsKeeper<PlatformLink, DaemonPeers, FleetAdopter>;
 
 }
--- a/daemon/minion_registry.cpp
+++ b/daemon/minion_registry.cpp
@@ -50,9 +50,23 @@
     }
     this->Add(dataCentre, isHome ? local : remote);
   }
+  this->homeSlots = local;
   return std::make_unique<const MinionTable>(local, remote);
 }
 
+void
+MinionRegistry::Share(
+  std::int32_t aHosts,
+  const std::vector<std::optional<std::int32_t>>& aPeersInFlight)
+{
+  for (std::size_t index = 0; index < this->homeSlots.size(); ++index) {
+    MinionSlot& slot = *this->homeSlots[index];
+    const std::optional<std::int32_t> peers =
+      index < aPeersInFlight.size() ? aPeersInFlight[index] : std::nullopt;
+    slot.SetShare(SlotShare(slot.Upstream().Slots(), aHosts, peers));
+  }
+}
+
 std::shared_ptr<MinionSlot>
 MinionRegistry::Find(const MinionName& aName) const
 {
--- a/daemon/minion_registry.h
+++ b/daemon/minion_registry.h
@@ -5,6 +5,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace sardinecourse {
 
@@ -26,6 +28,14 @@
   /** The table for a revision of the settings. */
   std::unique_ptr<const MinionTable> Adopt(const Fleet& aFleet);
 
+  /** The minions of the own data centre, in the order of the settings. */
+  const MinionTable::Slots& Home() const { return this->homeSlots; }
+
+  /** Shares out the own data centre's minions anew: among aHosts hosts, the
+   * others of which have aPeersInFlight at each of Home(), where known. */
+  void Share(std::int32_t aHosts,
+             const std::vector<std::optional<std::int32_t>>& aPeersInFlight);
+
   /** Null for a minion that the settings do not name. */
   std::shared_ptr<MinionSlot> Find(const MinionName& aName) const;
 
@@ -34,6 +44,7 @@
 
   DataCentreName home;
   std::map<MinionName, std::shared_ptr<MinionSlot>> slots;
+  MinionTable::Slots homeSlots;
 };
 
 }
--- a/daemon/peer_exchange.h
+++ b/daemon/peer_exchange.h
@@ -12,6 +12,7 @@
 #include "zones/peer_loads.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,7 +22,7 @@
 /**
  * What entry hosts tell and ask each other: settings, requests in flight,
  * leaving minions, promises, changes of the queue. It runs on the control
- * thread. The constructor bears the constraint, because the daemon that owns it
+ * thread. The constructor checks the concept, because the daemon that owns it
  * is not complete yet where it is a member.
  */
 template<typename Owner>
@@ -32,13 +33,14 @@
 
   PeerExchange(boost::asio::io_context& aContext,
                const HostSettings& aSettings,
-               Owner& aOwner) requires PeerOwner<Owner>
+               Owner& aOwner)
     : context(&aContext)
     , self(aSettings.Host())
     , owner(&aOwner)
     , links(aContext, aSettings.Host(), NewIncarnation(), *this)
     , timer(aContext)
   {
+    static_assert(PeerOwner<Owner>);
     this->links.SetSeeds(aSettings.Peers());
   }
 
@@ -110,6 +112,7 @@
   }
 
   void Tick();
+  void LogView();
   void TellLeaving();
   void TellLoads();
   std::vector<PeerStanding> PeersWithin() const;
@@ -120,6 +123,7 @@
   PeerLinks<PeerExchange> links;
   boost::asio::steady_timer timer;
   int ticks = 0;
+  std::string viewLogged;
   std::int64_t revision = 0;
   std::map<HostName, EntryHost> hosts;
   Slots minions;
--- a/daemon/peer_exchange_inl.h
+++ b/daemon/peer_exchange_inl.h
@@ -153,6 +153,7 @@
 void
 PeerExchange<Owner>::Tick()
 {
+  this->LogView();
   this->TellLeaving();
   if (++this->ticks % kTicksPerLoads == 0) {
     this->TellLoads();
@@ -165,6 +166,27 @@
   });
 }
 
+template<typename Owner>
+void
+PeerExchange<Owner>::LogView()
+{
+  const PeerView view = this->View();
+  std::string text = "cut_off=" + std::to_string(view.CutOff() ? 1 : 0);
+  constexpr std::array kStates{ PeerState::kLive,
+                                PeerState::kSuspected,
+                                PeerState::kGone,
+                                PeerState::kUnknown };
+  for (const PeerState state : kStates) {
+    text += " " + std::string(PeerStateName(state)) + "=" +
+            std::to_string(view.CountWithin(state)) + "+" +
+            std::to_string(view.CountBetween(state));
+  }
+  if (text != this->viewLogged) {
+    LogPeer("partition_view", this->self.Name(), text);
+    this->viewLogged = text;
+  }
+}
+
 /** The request path only marks the slot, because it must not wait for this
  * thread; the marks are found here. */
 template<typename Owner>
--- a/daemon/status_resource.cpp
+++ b/daemon/status_resource.cpp
@@ -10,10 +10,12 @@
 
 StatusResource::StatusResource(EntryHost aHost,
                                const HostSettingsKeeper& aKeeper,
-                               const PlatformLink& aPlatform)
+                               const PlatformLink& aPlatform,
+                               const DaemonPeers& aPeers)
   : host(std::move(aHost))
   , keeper(&aKeeper)
   , platform(&aPlatform)
+  , peers(&aPeers)
 {
 }
 
@@ -30,6 +32,13 @@
   status.platformWrites = this->platform->Counters().writes;
   status.uptime = std::chrono::duration_cast<std::chrono::seconds>(
     Clock::now() - this->started);
+  const PeerView view = this->peers->View();
+  for (const PeerStanding& peer : view.Peers()) {
+    status.peers.push_back({ peer.host,
+                             peer.dataCentre,
+                             std::string(PeerStateName(peer.state)),
+                             peer.revision });
+  }
   return JsonAnswer(200, EncodeHostStatus(status));
 }
 
--- a/daemon/status_resource.h
+++ b/daemon/status_resource.h
@@ -13,7 +13,8 @@
 public:
   StatusResource(EntryHost aHost,
                  const HostSettingsKeeper& aKeeper,
-                 const PlatformLink& aPlatform);
+                 const PlatformLink& aPlatform,
+                 const DaemonPeers& aPeers);
 
   HttpAnswer Show() const;
 
@@ -21,6 +22,7 @@
   EntryHost host;
   const HostSettingsKeeper* keeper;
   const PlatformLink* platform;
+  const DaemonPeers* peers;
   Instant started = Clock::now();
 };
 
--- a/links/peer_links.h
+++ b/links/peer_links.h
@@ -16,6 +16,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <memory>
 #include <random>
 #include <unordered_map>
 #include <utility>
@@ -37,7 +38,7 @@
   PeerLinks(boost::asio::io_context& aContext,
             EntryHost aSelf,
             std::int64_t aIncarnation,
-            Listener& aListener) requires PeerListener<Listener>
+            Listener& aListener)
     : self(std::move(aSelf))
     , incarnation(aIncarnation)
     , listener(&aListener)
@@ -46,6 +47,7 @@
     , timer(aContext)
     , random(std::random_device{}())
   {
+    static_assert(PeerListener<Listener>);
   }
 
   /** Starts to accept and to dial. */
@@ -197,6 +199,8 @@
   PeerTraffic traffic;
   Instant lastTick;
   bool stopped = false;
+  /** Ends with this object: a tick may be queued already by then. */
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
 };
 
 }
--- a/links/peer_links_inl.h
+++ b/links/peer_links_inl.h
@@ -84,8 +84,9 @@
   }
   this->DialSeeds(now);
   this->timer.expires_after(kTick);
-  this->timer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError && !this->stopped) {
+  const std::weak_ptr<int> weak = this->alive;
+  this->timer.async_wait([this, weak](const boost::system::error_code& aError) {
+    if (!weak.expired() && !aError && !this->stopped) {
       this->Tick();
     }
   });
--- a/links/peer_socket.cpp
+++ b/links/peer_socket.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
 #include <utility>
 #include <websocketpp/client.hpp>
@@ -102,6 +103,7 @@
   std::unordered_map<Id, Connection> connections;
   Id next = 1;
   bool listening = false;
+  bool ended = false;
 };
 
 template<typename Endpoint>
@@ -121,7 +123,8 @@
   // for as long as their timers run.
   const std::weak_ptr<State> weak = this->weak_from_this();
   aConnection->set_open_handler([weak, aId](const auto&) {
-    if (const auto self = weak.lock()) {
+    const auto self = weak.lock();
+    if (self && self->connections.count(aId) > 0) {
       self->events.onOpen(aId);
     }
   });
@@ -187,7 +190,7 @@
       websocketpp::lib::error_code error;
       const auto connection =
         self ? self->server.get_con_from_hdl(aHandle, error) : nullptr;
-      if (connection) {
+      if (connection && !self->ended) {
         SendAtOnce(*connection);
         // It gets its number before the handshake, so that an unfinished one is
         // dropped with the others.
@@ -208,14 +211,22 @@
 
 PeerSocket::~PeerSocket()
 {
-  auto connections = std::exchange(this->state->connections, {});
-  for (auto& [id, connection] : connections) {
+  // Without an entry in the map no connection tells anything any more.
+  const auto connections = std::exchange(this->state->connections, {});
+  this->state->ended = true;
+  for (const auto& [id, connection] : connections) {
     connection.drop();
   }
   websocketpp::lib::error_code ignored;
-  if (this->state->listening) {
+  if (std::exchange(this->state->listening, false)) {
     this->state->server.stop_listening(ignored);
   }
+  // The library's pending handlers point to its endpoints, so these live until
+  // the last of its timers has run.
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+    *this->state->context,
+    std::chrono::milliseconds(kOpenTimeoutMs + kCloseTimeoutMs));
+  timer->async_wait([timer, state = this->state](const auto&) {});
 }
 
 bool
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <spawn.h>
 #include <sstream>
+#include <string_view>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <utility>
@@ -46,6 +47,10 @@
       kill(entry.load(), SIGKILL);
     }
   }
+  constexpr std::string_view kText =
+    "ended by a signal; the exit code is 128 and its number\n";
+  const ssize_t ignored = write(STDERR_FILENO, kText.data(), kText.size());
+  static_cast<void>(ignored);
   _exit(kSignalExitBase + aSignal);
 }
 
