--- a/tests/stand_ins/minion_stand_in.cpp
+++ b/tests/stand_ins/minion_stand_in.cpp
@@ -18,6 +18,8 @@
   std::string listen = "127.0.0.1:7001";
   const char* control = "";
   const char* prefix = "m";
+  /** Number in the first one's name. */
+  int first = 1;
   int count = 1;
   int slots = 8;
   int connections = 64;
@@ -31,6 +33,7 @@
   const poptOption table[] = {
     { "control", 0, POPT_ARG_STRING, &aOptions.control, 0, "IP:PORT", nullptr },
     { "prefix", 0, POPT_ARG_STRING, &aOptions.prefix, 0, "of names", nullptr },
+    { "first", 0, POPT_ARG_INT, &aOptions.first, 0, "number", nullptr },
     { "count", 0, POPT_ARG_INT, &aOptions.count, 0, "minions", nullptr },
     { "slots", 0, POPT_ARG_INT, &aOptions.slots, 0, "each", nullptr },
     { "connections", 0, POPT_ARG_INT, &aOptions.connections, 0, "", nullptr },
@@ -72,7 +75,7 @@
       first->Ip() + ":" + std::to_string(first->Port() + index), reason);
     minions.push_back(std::make_unique<SimulatedMinion>(
       context,
-      aOptions.prefix + std::to_string(index + 1),
+      aOptions.prefix + std::to_string(aOptions.first + index),
       aOptions.slots,
       aOptions.connections));
     minions.back()->Faults().serviceUs = aOptions.serviceUs;
