--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -46,6 +46,7 @@
                              this->peers))
   , minions(this->settings.Host().DataCentre())
   , requests(this->settings.Host().Name(),
+             this->settings.Threads(),
              this->control,
              this->platform,
              this->operators)
--- a/daemon/request_context.h
+++ b/daemon/request_context.h
@@ -15,10 +15,12 @@
 struct RequestContext
 {
   RequestContext(HostName aHost,
+                 std::int32_t aThreads,
                  boost::asio::io_context& aControl,
                  PlatformLink& aPlatform,
                  OperatorApi& aOperators)
     : host(std::move(aHost))
+    , threads(aThreads)
     , minions(std::make_unique<const MinionTable>())
     , claims(aControl, aPlatform)
     , operators(&aOperators)
@@ -26,6 +28,7 @@
   }
 
   HostName host;
+  std::int32_t threads;
   Snapshot<MinionTable> minions;
   ClaimDesk claims;
   OperatorApi* operators;
--- a/daemon/request_forwarder.cpp
+++ b/daemon/request_forwarder.cpp
@@ -28,11 +28,13 @@
 RequestForwarder::RequestForwarder(boost::asio::io_context& aContext,
                                    const Snapshot<MinionTable>& aMinions,
                                    RequestMetrics& aMetrics,
-                                   RoutingLogBuffer& aLog)
+                                   RoutingLogBuffer& aLog,
+                                   std::int32_t aThreads)
   : context(&aContext)
   , minions(&aMinions)
   , metrics(&aMetrics)
   , log(&aLog)
+  , threads(aThreads)
   , links(aContext)
   , random(std::random_device{}())
 {
@@ -61,10 +63,13 @@
       break;
     }
     last = routed->slot;
-    const Instant deadline = AttemptDeadline(aRequest, progress, Clock::now());
+    SlotHold hold(last);
+    const microseconds latency = this->StateOf(aRequest.Service()).latency;
+    const Instant deadline =
+      AttemptDeadline(aRequest, progress, latency, Clock::now());
     AttemptEnd end = AttemptEnd::kNotSent;
     std::optional<HttpAnswer> answer = co_await this->Attempt(
-      aRequest, last, aMessage, deadline, end, result.reason);
+      aRequest, std::move(hold), last, aMessage, deadline, end, result.reason);
     progress = progress.After(end);
     if (end == AttemptEnd::kAnswered) {
       result.answer = std::move(answer);
@@ -116,8 +121,9 @@
 
 boost::asio::awaitable<std::optional<HttpAnswer>>
 RequestForwarder::Attempt(Request aRequest,
+                          SlotHold aHold,
                           std::shared_ptr<MinionSlot> aSlot,
-                          HttpRequest& aMessage,
+                          HttpRequest aMessage,
                           Instant aDeadline,
                           AttemptEnd& aEnd,
                           Reason& aReason)
@@ -128,11 +134,14 @@
   aMessage.fields.Set(kDeadlineField, std::to_string(timeLeft.count()));
   aMessage.fields.Set(kMinionNameField, aSlot->Upstream().Name().Text());
   MinionLink& link = this->links.To(aSlot);
-  std::optional<HttpAnswer> answer = co_await link.Exchange(
-    aMessage, aRequest.Identity(), aDeadline, aEnd, aReason);
+  std::optional<HttpAnswer> answer = co_await link.Exchange(std::move(aMessage),
+                                                            std::move(aHold),
+                                                            aRequest.Identity(),
+                                                            aDeadline,
+                                                            aEnd,
+                                                            aReason);
   const Instant now = Clock::now();
   ServiceState& state = this->StateOf(aRequest.Service());
-  aSlot->Release();
   state.queue.WakeFirst();
   if (aEnd == AttemptEnd::kAnswered) {
     const auto latency = std::chrono::duration_cast<microseconds>(now - start);
@@ -181,7 +190,7 @@
     return false;
   }
   const microseconds wait =
-    ExpectedWait(aState.queue.Length(), slots, aState.latency);
+    ExpectedWait(aState.queue.Length() * this->threads, slots, aState.latency);
   const Clock::duration remaining = aRequest.Deadline() - Clock::now();
   if (aState.queue.Length() >= kMostWaiting ||
       ShouldShed(wait, aState.latency, remaining)) {
--- a/daemon/request_forwarder.h
+++ b/daemon/request_forwarder.h
@@ -6,6 +6,7 @@
 #include "daemon/slot_queue.h"
 #include "links/http_request.h"
 #include "links/minion_links.h"
+#include "machines/slot_hold.h"
 #include "zones/minion_table.h"
 #include "zones/retry_budget.h"
 
@@ -32,7 +33,8 @@
   RequestForwarder(boost::asio::io_context& aContext,
                    const Snapshot<MinionTable>& aMinions,
                    RequestMetrics& aMetrics,
-                   RoutingLogBuffer& aLog);
+                   RoutingLogBuffer& aLog,
+                   std::int32_t aThreads);
 
   /** Tries minions until one answers, or nothing more may be tried. */
   boost::asio::awaitable<ForwardResult> Forward(Request aRequest,
@@ -59,8 +61,9 @@
   TakeSlot(Request aRequest, const MinionSlot* aAvoided, Reason& aReason);
   boost::asio::awaitable<std::optional<HttpAnswer>> Attempt(
     Request aRequest,
+    SlotHold aHold,
     std::shared_ptr<MinionSlot> aSlot,
-    HttpRequest& aMessage,
+    HttpRequest aMessage,
     Instant aDeadline,
     AttemptEnd& aEnd,
     Reason& aReason);
@@ -82,6 +85,8 @@
   const Snapshot<MinionTable>* minions;
   RequestMetrics* metrics;
   RoutingLogBuffer* log;
+  /** Threads of this host, which share its part of the slots. */
+  std::int32_t threads;
   MinionLinks links;
   RetryBudget budget;
   std::unordered_map<ServiceName, ServiceState> services;
--- a/links/minion_link.cpp
+++ b/links/minion_link.cpp
@@ -3,10 +3,16 @@
 #include "core/reason.h"
 #include "links/http_connection.h"
 #include "links/http_request.h"
+#include "links/minion_connection.h"
+#include "links/minion_flight.h"
 #include "links/minion_protocol.h"
 #include "machines/minion_slot.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 namespace sardinecourse {
@@ -20,6 +26,8 @@
 /** A connection that answered more recently than this is taken to be alive. */
 constexpr Milliseconds kProvenFor{ 1000 };
 constexpr std::chrono::seconds kIdleLimit{ 15 };
+/** How long after the deadline a minion is taken to work on a request still. */
+constexpr std::chrono::seconds kLingerLimit{ 2 };
 
 /** Rounded up, so that a timer never fires before the deadline. */
 Milliseconds
@@ -28,24 +36,17 @@
   return std::chrono::ceil<Milliseconds>(aDeadline - Clock::now());
 }
 
-}
-
-struct MinionLink::Connection
+/** Carries one exchange to its end, whoever still waits for it. */
+asio::awaitable<void>
+Fly(std::shared_ptr<MinionFlight> aFlight, Milliseconds aTimeout)
 {
-  Connection(asio::io_context& aContext, std::shared_ptr<MinionSlot> aSlot)
-    : slot(std::move(aSlot))
-    , http(aContext, this->slot->Upstream().Address())
-  {
-  }
-  ~Connection() { this->slot->ConnectionClosed(); }
-  Connection(const Connection&) = delete;
-  Connection& operator=(const Connection&) = delete;
+  aFlight->answer = co_await aFlight->connection->http.Exchange(
+    aFlight->request, aTimeout, aFlight->progress, aFlight->reason);
+  aFlight->hasEnded = true;
+  aFlight->ended.cancel();
+}
 
-  std::shared_ptr<MinionSlot> slot;
-  HttpConnection http;
-  /** When the last whole answer arrived on it. */
-  Instant proven;
-};
+}
 
 MinionLink::MinionLink(asio::io_context& aContext,
                        std::shared_ptr<MinionSlot> aSlot)
@@ -57,7 +58,8 @@
 MinionLink::~MinionLink() = default;
 
 asio::awaitable<std::optional<HttpAnswer>>
-MinionLink::Exchange(const HttpRequest& aRequest,
+MinionLink::Exchange(HttpRequest aRequest,
+                     SlotHold aHold,
                      std::string aIdentity,
                      Instant aDeadline,
                      AttemptEnd& aEnd,
@@ -70,47 +72,87 @@
   if (!connection) {
     co_return std::nullopt;
   }
-  const std::string& peer = this->slot->Upstream().Name().Text();
-  const Milliseconds timeout = Until(aDeadline);
   // A process that was paused meanwhile must not send what its caller no longer
   // waits for.
-  if (timeout <= Milliseconds::zero()) {
-    aReason = Reason(Step::kUpstreamSend, peer, "the deadline has passed");
+  if (Until(aDeadline) <= Milliseconds::zero()) {
+    aReason = Reason(Step::kUpstreamSend,
+                     this->slot->Upstream().Name().Text(),
+                     "the deadline has passed");
     this->Keep(std::move(connection));
     co_return std::nullopt;
   }
-  ExchangeProgress progress = ExchangeProgress::kNotSent;
+  auto flight = std::make_shared<MinionFlight>(*this->context,
+                                               std::move(connection),
+                                               std::move(aRequest),
+                                               std::move(aHold));
   ++this->inUse;
-  std::optional<HttpAnswer> answer =
-    co_await connection->http.Exchange(aRequest, timeout, progress, aReason);
+  const bool hasEnded = co_await this->Await(flight, aDeadline);
   --this->inUse;
-  if (!answer) {
-    aEnd = progress == ExchangeProgress::kNotSent ? AttemptEnd::kNotSent
-                                                  : AttemptEnd::kMaybeSent;
+  if (!hasEnded) {
+    aEnd = AttemptEnd::kMaybeSent;
+    aReason = Reason(Step::kUpstreamReceive,
+                     this->slot->Upstream().Name().Text(),
+                     "no whole answer before the deadline");
     this->SuspectAll();
     co_return std::nullopt;
   }
-  if (SaysLeaving(*answer)) {
-    this->slot->MarkLeaving();
+  flight->hold.reset();
+  co_return this->Accept(*flight, aIdentity, aEnd, aReason);
+}
+
+asio::awaitable<bool>
+MinionLink::Await(std::shared_ptr<MinionFlight> aFlight, Instant aDeadline)
+{
+  boost::system::error_code ignored;
+  aFlight->ended.expires_at(aDeadline);
+  asio::awaitable<void> flying = Fly(aFlight, Until(aDeadline) + kLingerLimit);
+  asio::co_spawn(*this->context, std::move(flying), asio::detached);
+  co_await aFlight->ended.async_wait(
+    asio::redirect_error(asio::use_awaitable, ignored));
+  co_return aFlight->hasEnded;
+}
+
+std::optional<HttpAnswer>
+MinionLink::Accept(MinionFlight& aFlight,
+                   const std::string& aIdentity,
+                   AttemptEnd& aEnd,
+                   Reason& aReason)
+{
+  const Minion& minion = this->slot->Upstream();
+  if (!aFlight.answer) {
+    const bool isUnsent = aFlight.progress == ExchangeProgress::kNotSent;
+    aEnd = isUnsent ? AttemptEnd::kNotSent : AttemptEnd::kMaybeSent;
+    aReason = aFlight.reason;
+    this->SuspectAll();
+    return std::nullopt;
+  }
+  if (SaysLeaving(*aFlight.answer)) {
+    this->slot->MarkLeaving(LeavingSign::kOwnWord);
   }
-  if (IsForeign(*answer, this->slot->Upstream(), aIdentity)) {
+  MinionConnection& connection = *aFlight.connection;
+  const bool isNamed = NamesRequest(*aFlight.answer);
+  if (IsForeign(*aFlight.answer, minion, aIdentity) ||
+      (connection.namesRequests && !isNamed)) {
     aEnd = AttemptEnd::kMaybeSent;
     aReason = Reason(Step::kUpstreamReceive,
-                     peer,
+                     minion.Name().Text(),
                      "the answer belongs to another request or minion");
-    co_return std::nullopt;
+    return std::nullopt;
   }
-  aEnd = IsRefusal(*answer) ? AttemptEnd::kRefused : AttemptEnd::kAnswered;
-  if (aEnd == AttemptEnd::kRefused) {
-    aReason = Reason(Step::kUpstreamReceive, peer, "the minion refused it");
+  const bool isRefused = IsRefusal(*aFlight.answer);
+  aEnd = isRefused ? AttemptEnd::kRefused : AttemptEnd::kAnswered;
+  if (isRefused) {
+    aReason = Reason(
+      Step::kUpstreamReceive, minion.Name().Text(), "the minion refused it");
   }
   // Where answers do not name their request, a late duplicate of this one could
   // not be told from the answer to the next.
-  if (NamesRequest(*answer)) {
-    connection->proven = Clock::now();
-    this->Keep(std::move(connection));
+  if (isNamed) {
+    connection.namesRequests = true;
+    connection.proven = Clock::now();
+    this->Keep(std::move(aFlight.connection));
   }
-  co_return answer;
+  return std::move(aFlight.answer);
 }
 
 void
@@ -154,7 +196,8 @@
                      "this host's share of its connections is in use");
     co_return nullptr;
   }
-  auto connection = std::make_unique<Connection>(*this->context, this->slot);
+  auto connection =
+    std::make_unique<MinionConnection>(*this->context, this->slot);
   const Milliseconds timeout =
     std::clamp(Until(aDeadline), Milliseconds(1), kConnectTimeout);
   const bool isOpen = co_await connection->http.Connect(timeout, aReason);
@@ -166,7 +209,7 @@
 }
 
 asio::awaitable<bool>
-MinionLink::IsAlive(Connection& aConnection, Instant aDeadline)
+MinionLink::IsAlive(MinionConnection& aConnection, Instant aDeadline)
 {
   if (!aConnection.http.Quiet()) {
     co_return false;
@@ -174,14 +217,17 @@
   if (Clock::now() - aConnection.proven < kProvenFor) {
     co_return true;
   }
-  const HttpRequest probe = MakeProbe(this->slot->Upstream());
+  const std::string identity = "probe-" + std::to_string(this->nextProbe++);
+  const HttpRequest probe = MakeProbe(this->slot->Upstream(), identity);
   const Milliseconds timeout =
     std::clamp(Until(aDeadline), Milliseconds(1), kProbeTimeout);
   ExchangeProgress progress = ExchangeProgress::kNotSent;
   Reason ignored;
   const std::optional<HttpAnswer> answer =
     co_await aConnection.http.Exchange(probe, timeout, progress, ignored);
-  if (!answer || !aConnection.http.Reusable()) {
+  const bool isOwn = answer && NamesRequest(*answer) &&
+                     !IsForeign(*answer, this->slot->Upstream(), identity);
+  if (!isOwn || !aConnection.http.Reusable()) {
     this->SuspectAll();
     co_return false;
   }
--- a/links/minion_link.h
+++ b/links/minion_link.h
@@ -18,7 +18,10 @@
 
 class MinionSlot;
 class Reason;
+class SlotHold;
 struct HttpRequest;
+struct MinionConnection;
+struct MinionFlight;
 
 /** One thread's connections to one minion. */
 class MinionLink
@@ -34,10 +37,12 @@
    * Sends the request on a connection that is known to be alive and waits for
    * its whole answer. Empty, with the reason, on a failure or at the deadline;
    * aEnd tells what may be said of the request. The request carries aIdentity
-   * in its identity field.
+   * in its identity field. The slot is given back when the minion is done with
+   * the request, as far as can be known, which may be after the deadline.
    */
   boost::asio::awaitable<std::optional<HttpAnswer>> Exchange(
-    const HttpRequest& aRequest,
+    HttpRequest aRequest,
+    SlotHold aHold,
     std::string aIdentity,
     Instant aDeadline,
     AttemptEnd& aEnd,
@@ -49,15 +54,21 @@
   bool Unused() const;
 
 private:
-  struct Connection;
-  using ConnectionPtr = std::unique_ptr<Connection>;
+  using ConnectionPtr = std::unique_ptr<MinionConnection>;
 
   boost::asio::awaitable<ConnectionPtr> Obtain(Instant aDeadline,
                                                Reason& aReason);
   boost::asio::awaitable<ConnectionPtr> Open(Instant aDeadline,
                                              Reason& aReason);
-  boost::asio::awaitable<bool> IsAlive(Connection& aConnection,
+  boost::asio::awaitable<bool> IsAlive(MinionConnection& aConnection,
                                        Instant aDeadline);
+  /** Waits for the flight's end until the deadline; true if it ended. */
+  boost::asio::awaitable<bool> Await(std::shared_ptr<MinionFlight> aFlight,
+                                     Instant aDeadline);
+  std::optional<HttpAnswer> Accept(MinionFlight& aFlight,
+                                   const std::string& aIdentity,
+                                   AttemptEnd& aEnd,
+                                   Reason& aReason);
   void Keep(ConnectionPtr aConnection);
   void SuspectAll();
 
@@ -66,6 +77,7 @@
   /** The most recently used connection is last. */
   std::vector<ConnectionPtr> idle;
   std::int32_t inUse = 0;
+  std::uint64_t nextProbe = 0;
 };
 
 }
--- a/links/minion_protocol.cpp
+++ b/links/minion_protocol.cpp
@@ -4,6 +4,8 @@
 #include "links/http_request.h"
 #include "machines/minion.h"
 
+#include <utility>
+
 namespace sardinecourse {
 
 namespace {
@@ -49,12 +51,13 @@
 }
 
 HttpRequest
-MakeProbe(const Minion& aMinion)
+MakeProbe(const Minion& aMinion, std::string aIdentity)
 {
   HttpRequest probe;
   probe.method = "GET";
   probe.target = "/healthz";
   probe.fields.Add(std::string(kMinionNameField), aMinion.Name().Text());
+  probe.fields.Add(std::string(kRequestIdentityField), std::move(aIdentity));
   return probe;
 }
 
--- a/links/minion_protocol.h
+++ b/links/minion_protocol.h
@@ -37,6 +37,6 @@
 
 /** The request that shows whether a connection still reaches the minion. */
 HttpRequest
-MakeProbe(const Minion& aMinion);
+MakeProbe(const Minion& aMinion, std::string aIdentity);
 
 }
--- a/machines/minion_slot.cpp
+++ b/machines/minion_slot.cpp
@@ -139,21 +139,31 @@
 }
 
 void
-MinionSlot::MarkLeaving()
+MinionSlot::MarkLeaving(LeavingSign aSign)
 {
-  this->leaving.store(true, std::memory_order_relaxed);
+  this->leavingSigns.fetch_or(static_cast<std::uint8_t>(aSign),
+                              std::memory_order_relaxed);
 }
 
 void
-MinionSlot::MarkStaying()
+MinionSlot::ClearLeaving(LeavingSign aSign)
 {
-  this->leaving.store(false, std::memory_order_relaxed);
+  const auto others = ~static_cast<unsigned>(aSign);
+  this->leavingSigns.fetch_and(static_cast<std::uint8_t>(others),
+                               std::memory_order_relaxed);
 }
 
 bool
 MinionSlot::Leaving() const
 {
-  return this->leaving.load(std::memory_order_relaxed);
+  return this->leavingSigns.load(std::memory_order_relaxed) != 0;
+}
+
+bool
+MinionSlot::Leaving(LeavingSign aSign) const
+{
+  return (this->leavingSigns.load(std::memory_order_relaxed) &
+          static_cast<std::uint8_t>(aSign)) != 0;
 }
 
 }
--- a/machines/minion_slot.h
+++ b/machines/minion_slot.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/instant.h"
+#include "machines/leaving_sign.h"
 #include "machines/minion.h"
 
 #include <atomic>
@@ -43,10 +44,11 @@
   void RecordFailure(Instant aNow);
   bool Ejected(Instant aNow) const;
 
-  /** The minion was seen to be leaving: no new work until it is seen back. */
-  void MarkLeaving();
-  void MarkStaying();
+  /** The minion gets no new work from the first sign until none is left. */
+  void MarkLeaving(LeavingSign aSign);
+  void ClearLeaving(LeavingSign aSign);
   bool Leaving() const;
+  bool Leaving(LeavingSign aSign) const;
 
 private:
   Minion minion;
@@ -58,7 +60,7 @@
   std::atomic<Clock::rep> lastAnswer = 0;
   std::atomic<std::int32_t> failuresInRow = 0;
   std::atomic<Clock::rep> ejectedUntil = 0;
-  std::atomic<bool> leaving = false;
+  std::atomic<std::uint8_t> leavingSigns = 0;
 };
 
 }
--- /dev/null
+++ b/tests/harness/request_rules.cpp
@@ -0,0 +1,120 @@
+#include "tests/harness/request_rules.h"
+
+#include <set>
+
+namespace sardinecourse::harness {
+
+namespace {
+
+std::map<std::string, int>
+CountRuns(const std::vector<Execution>& aExecutions)
+{
+  std::map<std::string, int> runs;
+  for (const Execution& execution : aExecutions) {
+    ++runs[execution.body];
+  }
+  return runs;
+}
+
+int
+RunsOf(const std::map<std::string, int>& aRuns, const std::string& aBody)
+{
+  const auto found = aRuns.find(aBody);
+  return found == aRuns.end() ? 0 : found->second;
+}
+
+}
+
+AnswersRule::AnswersRule(const std::vector<Execution>& aExecutions)
+  : runs(CountRuns(aExecutions))
+{
+}
+
+std::vector<std::string>
+AnswersRule::Check(const std::vector<Operation>& aOperations) const
+{
+  std::vector<std::string> breaches;
+  for (const Operation& operation : aOperations) {
+    if (operation.outcome != "done") {
+      continue;
+    }
+    const std::string& body = operation.subject;
+    if (operation.output != "200 ran /work " + body) {
+      breaches.push_back(body + " got the answer: " + operation.output);
+    }
+    if (RunsOf(this->runs, body) == 0) {
+      breaches.push_back(body + " is done but never ran");
+    }
+  }
+  return breaches;
+}
+
+NotRunRule::NotRunRule(const std::vector<Execution>& aExecutions)
+  : runs(CountRuns(aExecutions))
+{
+}
+
+std::vector<std::string>
+NotRunRule::Check(const std::vector<Operation>& aOperations) const
+{
+  std::set<std::string> refused;
+  std::set<std::string> others;
+  for (const Operation& operation : aOperations) {
+    const bool isNotRun =
+      operation.outcome == "not-run" || operation.outcome == "not-connected";
+    (isNotRun ? refused : others).insert(operation.subject);
+  }
+  std::vector<std::string> breaches;
+  for (const std::string& body : refused) {
+    if (others.count(body) == 0 && RunsOf(this->runs, body) > 0) {
+      breaches.push_back(body + " was told not-run, and ran");
+    }
+  }
+  return breaches;
+}
+
+AtMostOnceRule::AtMostOnceRule(const std::vector<Execution>& aExecutions)
+  : runs(CountRuns(aExecutions))
+{
+}
+
+std::vector<std::string>
+AtMostOnceRule::Check(const std::vector<Operation>& aOperations) const
+{
+  std::set<std::string> once;
+  for (const Operation& operation : aOperations) {
+    if (operation.kind != "put") {
+      once.insert(operation.subject);
+    }
+  }
+  std::vector<std::string> breaches;
+  for (const std::string& body : once) {
+    const int count = RunsOf(this->runs, body);
+    if (count > 1) {
+      breaches.push_back(body + " ran " + std::to_string(count) + " times");
+    }
+  }
+  return breaches;
+}
+
+std::map<std::string, int>
+CountOutcomes(const std::vector<Operation>& aOperations)
+{
+  std::map<std::string, int> counts;
+  for (const Operation& operation : aOperations) {
+    ++counts[operation.kind + " " + operation.outcome];
+  }
+  return counts;
+}
+
+std::string
+OutcomesText(const std::vector<Operation>& aOperations)
+{
+  std::string text;
+  for (const auto& [outcome, count] : CountOutcomes(aOperations)) {
+    text += outcome + "=" + std::to_string(count) + "; ";
+  }
+  return text;
+}
+
+}
--- a/zones/retry_decision.cpp
+++ b/zones/retry_decision.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::int32_t kMostAttempts = 3;
+/** An attempt is given up after no less than so many usual latencies. */
+constexpr std::int32_t kPatience = 4;
 
 }
 
@@ -42,13 +44,15 @@
 Instant
 AttemptDeadline(const Request& aRequest,
                 const RequestProgress& aProgress,
+                std::chrono::microseconds aLatency,
                 Instant aNow)
 {
   const bool isLast = aProgress.Attempts() + 1 >= kMostAttempts;
   if (!aRequest.Idempotent() || isLast || aNow >= aRequest.Deadline()) {
     return aRequest.Deadline();
   }
-  return aNow + (aRequest.Deadline() - aNow) / 2;
+  const Clock::duration half = (aRequest.Deadline() - aNow) / 2;
+  return half >= kPatience * aLatency ? aNow + half : aRequest.Deadline();
 }
 
 }
--- a/zones/retry_decision.h
+++ b/zones/retry_decision.h
@@ -25,12 +25,14 @@
 
 /**
  * Until when one attempt may wait for its answer. An idempotent request leaves
- * time for another attempt, because a connection that has gone silent looks
- * like a slow minion; any other waits to its deadline.
+ * half of its time for another attempt, because a connection that has gone
+ * silent looks like a slow minion; any other waits to its deadline, and so does
+ * one whose half is not much longer than aLatency, the usual time to an answer.
  */
 Instant
 AttemptDeadline(const Request& aRequest,
                 const RequestProgress& aProgress,
+                std::chrono::microseconds aLatency,
                 Instant aNow);
 
 }
