Name the sign when a peer tells that a minion leaves

Cause: the build broke where two changes met: a minion's leaving is now told with its sign.

Change: what a peer tells is marked as a peer's sign.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -105,7 +105,7 @@
 {
   const std::shared_ptr<MinionSlot> slot = this->minions.Find(aMinion);
   if (slot) {
-    slot->MarkLeaving();
+    slot->MarkLeaving(LeavingSign::kPeer);
   }
 }
 
