Stop new work on minions that leave, whichever sign comes first

Cause: a minion's leaving was learnt from its own answers only.

Change: daemon/minion_watch reads the platform's list of hosts each second and asks minions that were seen to leave whether they are back. Each sign (own word, host list, operator, peer) is taken back by its own source; a peer's stands for 30 s at least.

Not tested: that a minion gets work again after it is back.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -45,6 +45,7 @@
                              this->platform,
                              this->peers))
   , minions(this->settings.Host().DataCentre())
+  , watch(this->control, this->minions, this->platform)
   , requests(this->settings.Host().Name(),
              this->settings.Threads(),
              this->control,
@@ -70,6 +71,7 @@
   });
   boost::asio::co_spawn(
     this->control, this->keeper.Run(), boost::asio::detached);
+  this->watch.Start();
   this->control.run();
   for (const std::unique_ptr<ServingThread>& thread : this->serving) {
     thread->Join();
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -3,6 +3,7 @@
 #include "daemon/daemon_peers.h"
 #include "daemon/host_settings_keeper.h"
 #include "daemon/minion_registry.h"
+#include "daemon/minion_watch.h"
 #include "daemon/operator_api.h"
 #include "daemon/request_context.h"
 #include "daemon/routing_log.h"
@@ -67,6 +68,7 @@
   HostSettingsKeeper keeper;
   OperatorApi operators;
   MinionRegistry minions;
+  MinionWatch watch;
   RequestContext requests;
   RoutingLog routingLog;
   std::vector<std::unique_ptr<ServingThread>> serving;
--- a/daemon/minion_registry.h
+++ b/daemon/minion_registry.h
@@ -36,6 +36,10 @@
   void Share(std::int32_t aHosts,
              const std::vector<std::optional<std::int32_t>>& aPeersInFlight);
 
+  const std::map<MinionName, std::shared_ptr<MinionSlot>>& All() const
+  {
+    return this->slots;
+  }
   /** Null for a minion that the settings do not name. */
   std::shared_ptr<MinionSlot> Find(const MinionName& aName) const;
 
--- a/tests/harness/request_callers.cpp
+++ b/tests/harness/request_callers.cpp
@@ -69,7 +69,8 @@
 private:
   std::string Send(const std::string& aKind, const std::string& aBody)
   {
-    const std::size_t host = this->random() % this->clients.size();
+    const std::size_t host =
+      this->mix.onlyHost.value_or(this->random() % this->clients.size());
     if (this->mix.reconnect) {
       this->clients[host] = std::make_unique<HttpClient>(this->addresses[host]);
     }
--- a/tests/harness/request_callers.h
+++ b/tests/harness/request_callers.h
@@ -4,6 +4,7 @@
 #include "tests/harness/history.h"
 
 #include <atomic>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -22,6 +23,8 @@
    * "done", through another daemon. */
   bool keyed = false;
   Milliseconds deadline{ 2000 };
+  /** Sends to this daemon alone. */
+  std::optional<std::size_t> onlyHost;
   /** Connects anew for each request. */
   bool reconnect = false;
 };
--- a/tests/harness/request_fleet.cpp
+++ b/tests/harness/request_fleet.cpp
@@ -168,6 +168,15 @@
   return PostOk(this->platformAddress, "/faults", aJson);
 }
 
+bool
+RequestFleet::ListHost(const std::string& aName, const std::string& aState)
+{
+  return PostOk(this->platformAddress,
+                "/hosts",
+                R"({"name": ")" + aName + R"(", "state": ")" + aState +
+                  R"("})");
+}
+
 std::vector<Execution>
 RequestFleet::Executions()
 {
--- a/tests/harness/request_fleet.h
+++ b/tests/harness/request_fleet.h
@@ -30,6 +30,8 @@
 
   /** Sets faults of one minion ("m1", ...) or of "all"; false if refused. */
   bool SetMinionFaults(const std::string& aName, const std::string& aJson);
+  /** Puts a host on the platform's list as "live", "leaving" or "gone". */
+  bool ListHost(const std::string& aName, const std::string& aState);
   bool SetPlatformFaults(const std::string& aJson);
   /** All that minions ran so far. */
   std::vector<Execution> Executions();
