Add the command-line tool, and prove the settings with real processes

Cause: operators need to check, compare, apply and look up settings, and the promise that an accepted change is in force and never reverts needed a proof with processes. A history test of four daemons and the platform's stand-in: four racing operators, lost answers, a platform that is down or slow now and then, daemons killed and replaced. The rule: what was told accepted stands in the table at that revision, what was told refused does not, no life of a host goes back, and a replaced host is ready only with all that was accepted before.

--- a/codecs/settings_json.cpp
+++ b/codecs/settings_json.cpp
@@ -1,7 +1,9 @@
 #include "codecs/settings_json.h"
 
+#include "contracts/path_change.h"
 #include "contracts/policy_key_traits.h"
 #include "contracts/settings_answer.h"
+#include "contracts/settings_origin.h"
 #include "contracts/settings_proposal.h"
 #include "contracts/settings_record_builder.h"
 #include "contracts/settings_text.h"
@@ -252,4 +254,40 @@
                 { "values", std::move(values) } });
 }
 
+std::optional<std::vector<SettingsOrigin>>
+DecodeSettingsOrigins(const std::string& aText, Reason& aReason)
+{
+  const std::optional<json> message = ParseObject(aText, aReason);
+  if (!message || !message->contains("values")) {
+    return std::nullopt;
+  }
+  std::vector<SettingsOrigin> origins;
+  for (const json& entry : (*message)["values"]) {
+    const json value =
+      entry.is_object() ? entry.value("value", json()) : json();
+    origins.push_back(
+      { TextAt(entry, "key"),
+        value.is_string() ? value.get<std::string>() : value.dump(),
+        TextAt(entry, "origin") });
+  }
+  return origins;
+}
+
+std::string
+EncodeChanges(std::int64_t aRevision, const std::vector<PathChange>& aChanges)
+{
+  json changes = json::array();
+  for (const PathChange& change : aChanges) {
+    json entry{ { "path", change.path } };
+    if (change.before) {
+      entry["before"] = *change.before;
+    }
+    if (change.after) {
+      entry["after"] = *change.after;
+    }
+    changes.push_back(std::move(entry));
+  }
+  return Text({ { "revision", aRevision }, { "changes", std::move(changes) } });
+}
+
 }
--- a/codecs/settings_json.h
+++ b/codecs/settings_json.h
@@ -12,7 +12,9 @@
 class Reason;
 class SettingsRecord;
 class SettingsTree;
+struct PathChange;
 struct SettingsAnswer;
+struct SettingsOrigin;
 struct SettingsProposal;
 struct SettingsScope;
 struct SettingsText;
@@ -50,5 +52,11 @@
 /** Each policy value in force at a place, and the level it comes from. */
 std::string
 EncodeSettingsOrigins(const SettingsTree& aTree, const SettingsScope& aScope);
+std::optional<std::vector<SettingsOrigin>>
+DecodeSettingsOrigins(const std::string& aText, Reason& aReason);
+
+/** What differs from the settings of a revision. */
+std::string
+EncodeChanges(std::int64_t aRevision, const std::vector<PathChange>& aChanges);
 
 }
--- a/codecs/status_json.cpp
+++ b/codecs/status_json.cpp
@@ -1,5 +1,6 @@
 #include "codecs/status_json.h"
 
+#include "contracts/host_report.h"
 #include "contracts/host_status.h"
 #include "core/reason.h"
 
@@ -9,8 +10,10 @@
 
 using nlohmann::json;
 
-std::string
-EncodeHostStatus(const HostStatus& aStatus)
+namespace {
+
+json
+ToJson(const HostStatus& aStatus)
 {
   json peers = json::array();
   for (const PeerReport& peer : aStatus.peers) {
@@ -19,16 +22,39 @@
                       { "state", peer.state },
                       { "revision", peer.revision } });
   }
-  const json message{ { "host", aStatus.host.Text() },
-                      { "data_centre", aStatus.dataCentre.Text() },
-                      { "version", aStatus.version },
-                      { "revision", aStatus.revision },
-                      { "platform_reachable", aStatus.platformReachable },
-                      { "platform_reads", aStatus.platformReads },
-                      { "platform_writes", aStatus.platformWrites },
-                      { "uptime_s", aStatus.uptime.count() },
-                      { "peers", peers } };
-  return message.dump();
+  return { { "host", aStatus.host.Text() },
+           { "data_centre", aStatus.dataCentre.Text() },
+           { "version", aStatus.version },
+           { "revision", aStatus.revision },
+           { "platform_reachable", aStatus.platformReachable },
+           { "platform_reads", aStatus.platformReads },
+           { "platform_writes", aStatus.platformWrites },
+           { "uptime_s", aStatus.uptime.count() },
+           { "peers", std::move(peers) } };
+}
+
+}
+
+std::string
+EncodeHostStatus(const HostStatus& aStatus)
+{
+  return ToJson(aStatus).dump();
+}
+
+std::string
+EncodeHostReports(const std::vector<HostReport>& aReports)
+{
+  json hosts = json::array();
+  for (const HostReport& report : aReports) {
+    json entry{ { "host", report.host.Text() },
+                { "callers", report.callers.Text() },
+                { "answers", report.status.has_value() } };
+    if (report.status) {
+      entry["status"] = ToJson(*report.status);
+    }
+    hosts.push_back(std::move(entry));
+  }
+  return json{ { "hosts", std::move(hosts) } }.dump();
 }
 
 std::optional<HostStatus>
--- a/codecs/status_json.h
+++ b/codecs/status_json.h
@@ -2,10 +2,12 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sardinecourse {
 
 class Reason;
+struct HostReport;
 struct HostStatus;
 
 std::string
@@ -15,4 +17,8 @@
 std::optional<HostStatus>
 DecodeHostStatus(const std::string& aText, Reason& aReason);
 
+/** The status of all entry hosts; one that did not answer has none. */
+std::string
+EncodeHostReports(const std::vector<HostReport>& aReports);
+
 }
--- a/tests/harness/settings_client.cpp
+++ b/tests/harness/settings_client.cpp
@@ -3,7 +3,6 @@
 #include "codecs/settings_json.h"
 #include "codecs/status_json.h"
 #include "contracts/host_status.h"
-#include "contracts/settings_proposal.h"
 #include "tests/harness/http_client.h"
 #include "tests/harness/wait.h"
 
@@ -11,18 +10,12 @@
 
 std::optional<SettingsAnswer>
 ProposeSettings(const Endpoint& aDaemon,
-                const std::string& aYaml,
-                std::optional<std::int64_t> aExpectedRevision,
+                const SettingsProposal& aProposal,
                 Milliseconds aTimeout)
 {
-  SettingsProposal proposal;
-  proposal.expectedRevision = aExpectedRevision;
-  proposal.who = "test";
-  proposal.file = "fleet.yaml";
-  proposal.yaml = aYaml;
   HttpClient client(aDaemon);
   const auto answer =
-    client.Post("/settings", EncodeSettingsProposal(proposal), aTimeout);
+    client.Post("/settings", EncodeSettingsProposal(aProposal), aTimeout);
   Reason reason;
   return answer ? DecodeSettingsAnswer(answer->body, reason) : std::nullopt;
 }
@@ -43,8 +36,11 @@
                         const std::string& aYaml,
                         Milliseconds aTimeout)
 {
+  const SettingsProposal proposal{
+    std::nullopt, "test", "first", "fleet.yaml", aYaml
+  };
   return WaitUntil(aTimeout, [&] {
-    const auto answer = ProposeSettings(aDaemon, aYaml, std::nullopt, aTimeout);
+    const auto answer = ProposeSettings(aDaemon, proposal, aTimeout);
     return answer && (answer->outcome == AcceptOutcome::kAccepted ||
                       answer->outcome == AcceptOutcome::kUnchanged);
   });
--- a/tests/harness/settings_client.h
+++ b/tests/harness/settings_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "contracts/settings_answer.h"
+#include "contracts/settings_proposal.h"
 #include "core/endpoint.h"
 #include "core/instant.h"
 
@@ -14,8 +15,7 @@
  * answer came. */
 std::optional<SettingsAnswer>
 ProposeSettings(const Endpoint& aDaemon,
-                const std::string& aYaml,
-                std::optional<std::int64_t> aExpectedRevision,
+                const SettingsProposal& aProposal,
                 Milliseconds aTimeout);
 
 /** Revision in force on a daemon; empty when it does not answer. */
--- /dev/null
+++ b/tests/history/settings_test.cpp
@@ -0,0 +1,281 @@
+#include "codecs/platform_json.h"
+#include "codecs/settings_json.h"
+#include "codecs/stored_value.h"
+#include "contracts/settings_record.h"
+#include "contracts/table_row.h"
+#include "machines/entry_host_builder.h"
+#include "machines/host_settings_builder.h"
+#include "tests/harness/fleet_files.h"
+#include "tests/harness/history.h"
+#include "tests/harness/http_client.h"
+#include "tests/harness/loopback.h"
+#include "tests/harness/process.h"
+#include "tests/harness/settings_client.h"
+#include "tests/harness/test_folder.h"
+#include "tests/harness/wait.h"
+#include "tests/history/settings_rule.h"
+
+#include <atomic>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace sardinecourse::harness {
+
+namespace {
+
+constexpr Milliseconds kTimeout{ 10000 };
+constexpr Milliseconds kRunTime{ 8000 };
+constexpr Milliseconds kInForceBound{ 16000 };
+constexpr int kHosts = 4;
+constexpr int kOperators = 4;
+
+/** One entry host: its daemon's process, which may be replaced. */
+struct Host
+{
+  EntryHost self;
+  std::string settingsPath;
+  std::optional<Process> daemon;
+  std::atomic<int> life = 0;
+};
+
+std::string
+Yaml(const std::string& aNote)
+{
+  return "name: fleet\nsettings: {settings_poll_ms: 1000}\n# " + aNote + "\n";
+}
+
+/** Racing operators, lost answers, a platform that is down now and then, and
+ * killed daemons. */
+class SettingsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SettingsTest);
+  CPPUNIT_TEST(AcceptedMeansInForceAndNeverReverts);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    this->platformAddress = FreeEndpoint();
+    this->platform.emplace(
+      "tests/platform_stand_in",
+      std::vector<std::string>{ "--listen", this->platformAddress.Text() },
+      this->folder.File("platform"));
+    for (int number = 0; number < kHosts; ++number) {
+      this->hosts.push_back(this->MakeHost(number));
+      this->StartDaemon(*this->hosts.back());
+    }
+  }
+
+  void tearDown() override
+  {
+    this->hosts.clear();
+    this->platform.reset();
+  }
+
+  void AcceptedMeansInForceAndNeverReverts()
+  {
+    CPPUNIT_ASSERT(PutFirstSettingsInForce(
+      this->hosts.front()->self.Callers(), Yaml("first"), kTimeout));
+    std::vector<std::thread> threads;
+    threads.reserve(kOperators + 2);
+    for (int number = 0; number < kOperators; ++number) {
+      threads.emplace_back([this, number] { this->Operate(number); });
+    }
+    threads.emplace_back([this] { this->Watch(); });
+    threads.emplace_back([this] { this->Disturb(); });
+    const std::string fault = this->KillAndReplaceHosts();
+    this->isOver = true;
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), fault);
+    this->SetFaults(R"({"down": "none", "lose_answers": 0})");
+    this->CheckInForceEverywhere();
+    const SettingsRule rule(this->RevisionsInTable());
+    CPPUNIT_ASSERT_EQUAL(std::string(), CheckHistory(rule, this->history));
+    this->folder.Passed();
+  }
+
+private:
+  std::unique_ptr<Host> MakeHost(int aNumber)
+  {
+    auto host = std::make_unique<Host>();
+    Reason reason;
+    EntryHostBuilder builder;
+    builder.Name(HostName("e" + std::to_string(aNumber)));
+    builder.DataCentre(DataCentreName(aNumber % 2 == 0 ? "east" : "west"));
+    builder.Callers(FreeEndpoint()).Peers(FreeEndpoint());
+    host->self = builder.Build(reason).value();
+    HostSettingsBuilder settings;
+    settings.Host(host->self).Platform({ this->platformAddress });
+    host->settingsPath =
+      this->folder.Write(host->self.Name().Text() + ".yaml",
+                         HostSettingsYaml(settings.Build(reason).value()));
+    return host;
+  }
+
+  void StartDaemon(Host& aHost)
+  {
+    const int life = ++aHost.life;
+    aHost.daemon.emplace(
+      "sardinecoursed",
+      std::vector<std::string>{ "--settings", aHost.settingsPath },
+      this->folder.File(aHost.self.Name().Text() + "-" + std::to_string(life)));
+  }
+
+  /** One operator: proposes on top of what some daemon has in force. */
+  void Operate(int aNumber)
+  {
+    std::mt19937 random(Seed() + aNumber);
+    for (int count = 0; !this->isOver; ++count) {
+      const Endpoint daemon = this->hosts[random() % kHosts]->self.Callers();
+      const auto newest = RevisionInForce(daemon, kTimeout);
+      if (!newest) {
+        std::this_thread::sleep_for(kPollInterval);
+        continue;
+      }
+      const std::string note =
+        "change " + std::to_string(aNumber) + "-" + std::to_string(count);
+      const SettingsProposal proposal{
+        newest, "operator", note, "fleet.yaml", Yaml(note)
+      };
+      const std::size_t call =
+        this->history.Call(aNumber, "propose", daemon.Text(), note);
+      const auto answer = ProposeSettings(daemon, proposal, kInForceBound);
+      const std::int64_t revision =
+        answer && answer->record ? answer->record->Revision() : 0;
+      this->history.Return(
+        call,
+        answer ? std::string(AcceptOutcomeName(answer->outcome)) : "not-known",
+        std::to_string(revision));
+      if (answer && answer->outcome == AcceptOutcome::kAccepted) {
+        this->RaiseNewest(revision);
+      }
+    }
+  }
+
+  void RaiseNewest(std::int64_t aRevision)
+  {
+    std::int64_t before = this->newestAccepted;
+    while (before < aRevision &&
+           !this->newestAccepted.compare_exchange_weak(before, aRevision)) {
+    }
+  }
+
+  void Watch()
+  {
+    while (!this->isOver) {
+      for (const std::unique_ptr<Host>& host : this->hosts) {
+        const int life = host->life;
+        const auto revision = RevisionInForce(host->self.Callers(), kTimeout);
+        if (revision && life == host->life) {
+          this->history.Observe(0,
+                                "observe",
+                                host->self.Name().Text() + "#" +
+                                  std::to_string(life),
+                                std::to_string(*revision));
+        }
+      }
+      std::this_thread::sleep_for(kPollInterval);
+    }
+  }
+
+  /** Loses answers all the time, and takes the platform away for a while. */
+  void Disturb()
+  {
+    std::mt19937 random(Seed());
+    const std::vector<std::string> faults{ R"({"lose_answers": 2})",
+                                           R"({"lose_answers": 1})",
+                                           R"({"down": "refuse"})",
+                                           R"({"slow_ms": 50})",
+                                           R"({"slow_ms": 0})" };
+    while (!this->isOver) {
+      this->SetFaults(faults[random() % faults.size()]);
+      std::this_thread::sleep_for(Milliseconds(random() % 300));
+      this->SetFaults(R"({"down": "none"})");
+      std::this_thread::sleep_for(Milliseconds(random() % 300));
+    }
+  }
+
+  void SetFaults(const std::string& aBody)
+  {
+    HttpClient(this->platformAddress).Post("/faults", aBody, kTimeout);
+  }
+
+  /** Until the run is over. A replaced host is ready only with all that was
+   * accepted before; gives what was found otherwise. */
+  std::string KillAndReplaceHosts()
+  {
+    const Instant end = Clock::now() + kRunTime;
+    for (std::size_t turn = 1; Clock::now() < end; ++turn) {
+      Host& host = *this->hosts[turn % kHosts];
+      const std::string name = host.self.Name().Text();
+      host.daemon->Kill();
+      const std::int64_t accepted = this->newestAccepted;
+      this->StartDaemon(host);
+      if (!WaitForHttp(host.self.Callers(), "/readyz", 200, kTimeout)) {
+        return name + " did not get ready";
+      }
+      const auto revision = RevisionInForce(host.self.Callers(), kTimeout);
+      if (revision.value_or(0) < accepted) {
+        return name + " was ready before it had revision " +
+               std::to_string(accepted);
+      }
+      std::this_thread::sleep_for(Milliseconds(500));
+    }
+    return "";
+  }
+
+  void CheckInForceEverywhere()
+  {
+    const Instant start = Clock::now();
+    for (const std::unique_ptr<Host>& host : this->hosts) {
+      CPPUNIT_ASSERT(WaitUntil(kInForceBound, [&] {
+        return RevisionInForce(host->self.Callers(), kTimeout).value_or(0) >=
+               this->newestAccepted;
+      }));
+    }
+    const auto took =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - start);
+    std::cout << "newest revision " << this->newestAccepted
+              << " in force everywhere after " << took.count() << " ms\n";
+    CPPUNIT_ASSERT(took < kInForceBound);
+    CPPUNIT_ASSERT(this->newestAccepted > 1);
+  }
+
+  std::map<std::string, std::int64_t> RevisionsInTable()
+  {
+    const auto answer =
+      HttpClient(this->platformAddress)
+        .Post("/table/scan", EncodeScanRequest("settings/history/"), kTimeout);
+    Reason reason;
+    std::map<std::string, std::int64_t> revisions;
+    const auto rows = DecodeRows(answer->body, reason);
+    CPPUNIT_ASSERT(rows.has_value());
+    for (const TableRow& row : *rows) {
+      const StoredValue stored = DecodeStoredValue(row.Value());
+      const SettingsRecord record =
+        DecodeSettingsRecord(stored.value, reason).value();
+      revisions[record.Note()] = record.Revision();
+    }
+    return revisions;
+  }
+
+  TestFolder folder;
+  Endpoint platformAddress;
+  std::optional<Process> platform;
+  std::vector<std::unique_ptr<Host>> hosts;
+  History history;
+  std::atomic<std::int64_t> newestAccepted = 1;
+  std::atomic<bool> isOver = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
+
+}
+
+}
--- /dev/null
+++ b/tool/settings_verbs.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "tool/exit_code.h"
+
+namespace sardinecourse {
+
+/** sardinecourse settings check | diff | apply | show | history. */
+ExitCode
+RunSettingsVerbs(int aCount, const char** aArguments);
+
+}
