Run gangs: the holder of a data centre, and the job API

Cause: jobs were values without anything that admits, places or runs them.

Change: the holder takes its data centre's racks by a lease in the table, reads from the workers what runs, places what waits, starts every member of a gang held before it releases them together, stops the whole gang when a member is lost, preempts with a checkpoint and a bounded grace, and records outcomes. Promises of peers carry a holder through an outage of the platform. The job API admits idempotently and answers only when the admission is durable. Worker polls are 20 s apart and renew all leases of a worker in one call; the holder polls a gang's workers when it should end.

Proof: history tests with real processes (labels gang, reclaim), checked from the workers' own records. Found by them and mended: a worker that stayed dead was never given up, because each try to stop its task put off the poll that would have noticed its lapse.

Not yet measured: control traffic and processor time by number of workers.

--- a/codecs/worker_json.cpp
+++ b/codecs/worker_json.cpp
@@ -69,6 +69,7 @@
            { "run_ms", aTask.RunTime().count() },
            { "ran_ms", aTask.Ran().count() },
            { "saved_ms", aTask.Saved().count() },
+           { "lease_ms", aTask.Lease().count() },
            { "state", StateName(aTask.State()) } };
 }
 
@@ -105,6 +106,7 @@
     .Ran(Milliseconds(IntegerField(aObject, "ran_ms")))
     .Saved(Milliseconds(IntegerField(aObject, "saved_ms")))
     .State(*state);
+  builder.Lease(Milliseconds(IntegerField(aObject, "lease_ms")));
   return builder.Build(aReason);
 }
 
--- /dev/null
+++ b/core/percent_encoding.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace sardinecourse {
+
+/** Percent-encodes all but letters, digits, '-', '_' and '.', for use in a path
+ * (RFC 3986, section 2.1). */
+std::string
+PercentEncode(std::string_view aText);
+
+/** Decodes percent-encoded bytes; a malformed one stays as it is. */
+std::string
+PercentDecode(std::string_view aText);
+
+}
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -51,7 +51,9 @@
              this->control,
              this->platform,
              this->operators)
+  , jobs(this->control, this->platform, this->peers, this->settings)
 {
+  this->requests.jobs = &this->jobs;
 }
 
 Daemon::~Daemon() = default;
@@ -87,6 +89,7 @@
   this->requests.minions.Publish(this->minions.Adopt(aFleet));
   this->peers.Adopt(aFleet, this->minions.Home());
   this->HeardLoads();
+  this->jobs.Adopt(aFleet);
   this->requests.readiness.SettingsInForce();
 }
 
@@ -120,13 +123,13 @@
 void
 Daemon::HeardQueueChange()
 {
+  this->jobs.QueueChanged();
 }
 
-/** A host that keeps no lease cannot keep a promise about one. */
 bool
-Daemon::Promise(const HostName& /*aHolder*/, std::int64_t /*aTerm*/)
+Daemon::Promise(const HostName& aHolder, std::int64_t aTerm)
 {
-  return false;
+  return this->jobs.Promise(aHolder, aTerm);
 }
 
 bool
@@ -154,6 +157,8 @@
                  "planned_stop step=readiness_off");
   this->requests.readiness.StartDraining();
   this->peers.AnnounceLeaving();
+  boost::asio::co_spawn(
+    this->control, this->jobs.Stop(), boost::asio::detached);
   for (const std::unique_ptr<ServingThread>& thread : this->serving) {
     thread->CloseAfterAnswers();
   }
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -2,11 +2,13 @@
 
 #include "daemon/daemon_peers.h"
 #include "daemon/host_settings_keeper.h"
+#include "daemon/job_service.h"
 #include "daemon/minion_registry.h"
 #include "daemon/minion_watch.h"
 #include "daemon/operator_api.h"
 #include "daemon/request_context.h"
 #include "daemon/routing_log.h"
+#include "links/platform_link.h"
 #include "machines/host_settings.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -71,6 +73,7 @@
   MinionWatch watch;
   RequestContext requests;
   RoutingLog routingLog;
+  JobService jobs;
   std::vector<std::unique_ptr<ServingThread>> serving;
   std::size_t servingEnded = 0;
 };
--- /dev/null
+++ b/daemon/decision_log.cpp
@@ -0,0 +1,37 @@
+#include "daemon/decision_log.h"
+
+namespace sardinecourse {
+
+bool
+DecisionLog::Add(const JobIdentity& aJob, const std::string& aText)
+{
+  const auto [found, isNew] = this->jobs.try_emplace(aJob);
+  std::deque<std::string>& decisions = found->second;
+  if (!decisions.empty() && decisions.back() == aText) {
+    return false;
+  }
+  decisions.push_back(aText);
+  if (decisions.size() > kMostDecisions) {
+    decisions.pop_front();
+  }
+  if (isNew) {
+    this->order.push_back(aJob);
+  }
+  if (this->order.size() > kMostJobs) {
+    this->jobs.erase(this->order.front());
+    this->order.pop_front();
+  }
+  return true;
+}
+
+std::vector<std::string>
+DecisionLog::Of(const JobIdentity& aJob) const
+{
+  const auto found = this->jobs.find(aJob);
+  if (found == this->jobs.end()) {
+    return {};
+  }
+  return { found->second.begin(), found->second.end() };
+}
+
+}
--- a/daemon/front_end.cpp
+++ b/daemon/front_end.cpp
@@ -2,6 +2,7 @@
 
 #include "codecs/refusal.h"
 #include "core/reason.h"
+#include "daemon/job_service.h"
 #include "daemon/operator_api.h"
 #include "daemon/request_context.h"
 
@@ -32,6 +33,11 @@
     HttpAnswer answer = co_await this->services.Handle(std::move(aRequest));
     co_return answer;
   }
+  if (JobService::Serves(aRequest.target)) {
+    HttpAnswer answer =
+      co_await this->shared->jobs->Handle(std::move(aRequest));
+    co_return answer;
+  }
   if (aRequest.target == "/healthz") {
     co_return HttpAnswer{};
   }
--- /dev/null
+++ b/daemon/host_holder.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "daemon/daemon_peers.h"
+#include "daemon/holder.h"
+#include "links/http_worker_link.h"
+#include "links/platform_link.h"
+
+namespace sardinecourse {
+
+/** The holder as the daemon runs it. */
+using HostHolder = Holder<PlatformLink, HttpWorkerLink, DaemonPeers>;
+
+}
--- a/daemon/request_context.h
+++ b/daemon/request_context.h
@@ -10,6 +10,7 @@
 namespace sardinecourse {
 
 class OperatorApi;
+class JobService;
 
 /** What all serving threads of a host share. */
 struct RequestContext
@@ -34,6 +35,8 @@
   OperatorApi* operators;
   RequestMetrics metrics;
   Readiness readiness;
+  /** Set before serving starts. */
+  JobService* jobs = nullptr;
 };
 
 }
--- /dev/null
+++ b/links/when_all.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace sardinecourse {
+
+/** Runs all at once, and returns when the last one has ended. */
+boost::asio::awaitable<void>
+WhenAll(boost::asio::io_context& aContext,
+        std::vector<boost::asio::awaitable<void>> aTasks);
+
+}
--- a/contracts/holder_timing.h
+++ b/machines/holder_timing.h
@@ -36,7 +36,7 @@
   Milliseconds renewal{ 1000 };
   Milliseconds margin{ 600 };
   Milliseconds commandTimeout{ 1000 };
-  Milliseconds queuePoll{ 500 };
+  Milliseconds queuePoll{ 1000 };
   Milliseconds taskLease{ 60000 };
   Milliseconds taskPoll{ 20000 };
   Milliseconds checkpointGrace{ 3000 };
--- a/contracts/holder_timing_builder.cpp
+++ b/machines/holder_timing_builder.cpp
@@ -1,4 +1,4 @@
-#include "contracts/holder_timing_builder.h"
+#include "machines/holder_timing_builder.h"
 
 #include "core/reason.h"
 
--- a/contracts/holder_timing_builder.h
+++ b/machines/holder_timing_builder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "contracts/holder_timing.h"
+#include "machines/holder_timing.h"
 
 #include <optional>
 
--- a/machines/task.h
+++ b/machines/task.h
@@ -37,6 +37,8 @@
   Milliseconds Ran() const { return this->ran; }
   /** Progress that its last checkpoint saved. */
   Milliseconds Saved() const { return this->saved; }
+  /** How long its worker keeps it without a renewal. */
+  Milliseconds Lease() const { return this->lease; }
   TaskState State() const { return this->state; }
 
   auto operator<=>(const Task&) const = default;
@@ -58,6 +60,7 @@
   Milliseconds runTime{ 0 };
   Milliseconds ran{ 0 };
   Milliseconds saved{ 0 };
+  Milliseconds lease{ 60000 };
   TaskState state = TaskState::kHeld;
 };
 
--- a/machines/task_builder.cpp
+++ b/machines/task_builder.cpp
@@ -104,6 +104,13 @@
   return *this;
 }
 
+TaskBuilder&
+TaskBuilder::Lease(Milliseconds aLease)
+{
+  this->value.lease = aLease;
+  return *this;
+}
+
 TaskBuilder&
 TaskBuilder::State(TaskState aState)
 {
--- a/machines/task_builder.h
+++ b/machines/task_builder.h
@@ -27,6 +27,7 @@
   TaskBuilder& RunTime(Milliseconds aRunTime);
   TaskBuilder& Ran(Milliseconds aRan);
   TaskBuilder& Saved(Milliseconds aSaved);
+  TaskBuilder& Lease(Milliseconds aLease);
   TaskBuilder& State(TaskState aState);
   std::optional<Task> Build(Reason& aReason) const;
 
--- /dev/null
+++ b/tests/history/reclaim_holder_test.cpp
@@ -0,0 +1,125 @@
+#include "tests/harness/job_deployment.h"
+#include "tests/harness/job_history.h"
+#include "tests/harness/wait.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <iostream>
+
+namespace sardinecourse::harness {
+
+namespace {
+
+constexpr Milliseconds kPoll{ 1000 };
+constexpr Milliseconds kBound = 3 * kPoll + Milliseconds(2000);
+constexpr Milliseconds kTimeout{ 60000 };
+/** Grace for the checkpoint, and the commands around it. */
+constexpr Milliseconds kReclaim{ 5800 };
+constexpr Milliseconds kBorrowedRun{ 12000 };
+constexpr Milliseconds kGuaranteedRun{ 500 };
+constexpr int kWorkers = 12;
+
+/** Teams claim their guaranteed shapes while the fleet is full of borrowed
+ * work. */
+class ReclaimHolderTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ReclaimHolderTest);
+  CPPUNIT_TEST(TeamsClaimAtOnce);
+  CPPUNIT_TEST(WorkersIgnoreCheckpoints);
+  CPPUNIT_TEST(HolderIsKilledInTheMiddle);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void TeamsClaimAtOnce()
+  {
+    JobDeployment deployment(kWorkers, 1, kPoll);
+    JobHistory history(deployment);
+    Fill(deployment, history);
+    Claim(deployment, history, kReclaim);
+    CPPUNIT_ASSERT_EQUAL(std::string(), history.Settle(kTimeout, kBound));
+    deployment.Passed();
+  }
+
+  void WorkersIgnoreCheckpoints()
+  {
+    JobDeployment deployment(kWorkers, 1, kPoll);
+    JobHistory history(deployment);
+    Fill(deployment, history);
+    for (int worker = 0; worker < kWorkers; ++worker) {
+      deployment.WorkerFaults(worker, R"({"ignore_checkpoint":1})");
+    }
+    Claim(deployment, history, kReclaim);
+    CPPUNIT_ASSERT_EQUAL(std::string(), history.Settle(kTimeout, kBound));
+    deployment.Passed();
+  }
+
+  void HolderIsKilledInTheMiddle()
+  {
+    JobDeployment deployment(kWorkers, 2, kPoll);
+    JobHistory history(deployment);
+    Fill(deployment, history);
+    for (int worker = 0; worker < kWorkers; worker += 2) {
+      deployment.WorkerFaults(worker, R"({"slow_ms":400})");
+    }
+    const int holder = deployment.Holder();
+    for (int team = 1; team < 4; ++team) {
+      CPPUNIT_ASSERT(history.Submit(
+        "t" + std::to_string(team), "claim", 2, 8, kGuaranteedRun));
+    }
+    std::this_thread::sleep_for(Milliseconds(700));
+    deployment.Daemon(holder).Kill();
+    for (int team = 1; team < 4; ++team) {
+      CPPUNIT_ASSERT(deployment.WaitForState(
+        "t" + std::to_string(team), "claim", "finished", kTimeout));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), history.Settle(kTimeout, kBound));
+    deployment.Passed();
+  }
+
+private:
+  /** Team t0 takes all accelerators. */
+  static void Fill(JobDeployment& aDeployment, JobHistory& aHistory)
+  {
+    CPPUNIT_ASSERT(aDeployment.WaitReady());
+    for (int job = 0; job < kWorkers; ++job) {
+      CPPUNIT_ASSERT(aHistory.Submit(
+        "t0", "fill" + std::to_string(job), 1, 8, kBorrowedRun));
+    }
+    CPPUNIT_ASSERT(WaitUntil(kTimeout, [&aDeployment] {
+      int released = 0;
+      for (const TaskEvent& event : aDeployment.Record()) {
+        released += event.event == "released" ? 1 : 0;
+      }
+      return released == kWorkers;
+    }));
+  }
+
+  /** The other teams claim at once, and each starts within the bound. */
+  static void Claim(JobDeployment& aDeployment,
+                    JobHistory& aHistory,
+                    Milliseconds aBound)
+  {
+    const Instant claimed = Clock::now();
+    for (int team = 1; team < 4; ++team) {
+      CPPUNIT_ASSERT(aHistory.Submit(
+        "t" + std::to_string(team), "claim", 2, 8, kGuaranteedRun));
+    }
+    CPPUNIT_ASSERT(WaitUntil(aBound, [&aDeployment] {
+      int released = 0;
+      for (const TaskEvent& event : aDeployment.Record()) {
+        released += event.event == "released" && event.job == "claim" ? 1 : 0;
+      }
+      return released == 6;
+    }));
+    const auto took =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - claimed);
+    std::cerr << "reclaim_ms=" << took.count() << '\n';
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReclaimHolderTest);
+
+}
+
+}
--- a/tests/stand_ins/worker_model.cpp
+++ b/tests/stand_ins/worker_model.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr Milliseconds kFirstLease{ 60000 };
 constexpr std::int64_t kVersionsPerStart = 1 << 20;
 
 Task
@@ -27,6 +26,7 @@
   builder.Member(aTask.Member()).Members(aTask.Members());
   builder.Range(aTask.Range()).Cores(aTask.Cores()).Memory(aTask.Memory());
   builder.Urgent(aTask.Urgent()).RunTime(aTask.RunTime());
+  builder.Lease(aTask.Lease());
   return *builder.State(aState).Ran(aRan).Saved(aSaved).Build(reason);
 }
 
@@ -65,7 +65,7 @@
   }
   Entry entry;
   entry.task = With(aTask, TaskState::kHeld, Milliseconds(0), aTask.Saved());
-  entry.leaseEnd = aNow + kFirstLease;
+  entry.leaseEnd = aNow + aTask.Lease();
   entry.version = ++this->version;
   this->Record(aTask, "held", aNow);
   this->RecordOversubscription(aTask, aNow);
