--- a/machines/minion_slot.cpp
+++ b/machines/minion_slot.cpp
@@ -16,9 +16,9 @@
 }
 
 MinionSlot::MinionSlot(Minion aMinion)
-  : minion(std::move(aMinion))
-  , share(this->minion.Slots())
-  , connectionShare(this->minion.Connections())
+  : share(aMinion.Slots())
+  , connectionShare(aMinion.Connections())
+  , minion(std::move(aMinion))
 {
 }
 
--- a/machines/minion_slot.h
+++ b/machines/minion_slot.h
@@ -51,16 +51,19 @@
   bool Leaving(LeavingSign aSign) const;
 
 private:
-  Minion minion;
-  std::atomic<std::int32_t> inFlight = 0;
+  /** The counters fill one cache line, apart from what never changes. */
+  static constexpr std::size_t kCacheLineBytes = 64;
+
+  alignas(kCacheLineBytes) std::atomic<std::int32_t> inFlight = 0;
   std::atomic<std::int32_t> share;
-  std::atomic<std::int32_t> openConnections = 0;
-  std::atomic<std::int32_t> connectionShare;
   std::atomic<std::int64_t> latencyUs = 0;
   std::atomic<Clock::rep> lastAnswer = 0;
-  std::atomic<std::int32_t> failuresInRow = 0;
   std::atomic<Clock::rep> ejectedUntil = 0;
+  std::atomic<std::int32_t> openConnections = 0;
+  std::atomic<std::int32_t> connectionShare;
+  std::atomic<std::int32_t> failuresInRow = 0;
   std::atomic<std::uint8_t> leavingSigns = 0;
+  alignas(kCacheLineBytes) Minion minion;
 };
 
 }
