--- a/codecs/job_json.cpp
+++ b/codecs/job_json.cpp
@@ -95,6 +95,29 @@
   return builder.Build(aReason);
 }
 
+std::optional<JobRecord>
+ReadRecord(const json& aObject, Reason& aReason)
+{
+  const std::optional<Job> job = ReadJob(aObject, aReason);
+  if (!job) {
+    return std::nullopt;
+  }
+  const std::optional<JobState> state = ParseState(TextField(aObject, "state"));
+  if (!state) {
+    aReason =
+      Reason(Step::kDecode, job->Key().Text(), "a job's state is not known");
+    return std::nullopt;
+  }
+  return JobRecordBuilder()
+    .Request(*job)
+    .State(*state)
+    .DataCentre(DataCentreName(TextField(aObject, "data_centre")))
+    .Attempts(IntegerField(aObject, "attempts"))
+    .Saved(Milliseconds(IntegerField(aObject, "saved_ms")))
+    .Detail(TextField(aObject, "detail"))
+    .Build(aReason);
+}
+
 json
 RecordObject(const JobRecord& aRecord)
 {
@@ -149,26 +172,11 @@
 DecodeJobRecord(const std::string& aText, Reason& aReason)
 {
   const std::optional<json> object = ParseJsonObject(aText);
-  const std::optional<Job> job =
-    object ? ReadJob(*object, aReason) : std::nullopt;
-  if (!job) {
-    aReason = Reason(Step::kDecode, "", "a job's record cannot be read");
-    return std::nullopt;
-  }
-  const std::optional<JobState> state = ParseState(TextField(*object, "state"));
-  if (!state) {
-    aReason =
-      Reason(Step::kDecode, job->Key().Text(), "a job's state is not known");
+  if (!object) {
+    aReason = Reason(Step::kDecode, "", "a job's record must be a JSON object");
     return std::nullopt;
   }
-  return JobRecordBuilder()
-    .Request(*job)
-    .State(*state)
-    .DataCentre(DataCentreName(TextField(*object, "data_centre")))
-    .Attempts(IntegerField(*object, "attempts"))
-    .Saved(Milliseconds(IntegerField(*object, "saved_ms")))
-    .Detail(TextField(*object, "detail"))
-    .Build(aReason);
+  return ReadRecord(*object, aReason);
 }
 
 std::string
@@ -181,6 +189,29 @@
   return JsonText(array);
 }
 
+std::optional<std::vector<JobRecord>>
+DecodeJobRecords(const std::string& aText, Reason& aReason)
+{
+  const json array = json::parse(aText, nullptr, false);
+  if (!array.is_array()) {
+    aReason = Reason(Step::kDecode, "", "job records must be a JSON array");
+    return std::nullopt;
+  }
+  std::vector<JobRecord> records;
+  for (const json& object : array) {
+    if (!object.is_object()) {
+      aReason = Reason(Step::kDecode, "", "a job's record must be an object");
+      return std::nullopt;
+    }
+    std::optional<JobRecord> record = ReadRecord(object, aReason);
+    if (!record) {
+      return std::nullopt;
+    }
+    records.push_back(std::move(*record));
+  }
+  return records;
+}
+
 std::string
 EncodeOwnership(const Ownership& aOwnership)
 {
--- a/codecs/job_json.h
+++ b/codecs/job_json.h
@@ -33,6 +33,8 @@
 /** A JSON array of records. */
 std::string
 EncodeJobRecords(const std::vector<JobRecord>& aRecords);
+std::optional<std::vector<JobRecord>>
+DecodeJobRecords(const std::string& aText, Reason& aReason);
 
 /** The row that says who holds a data centre's racks. */
 std::string
--- a/misc/scripts/install_packages.sh
+++ b/misc/scripts/install_packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 readonly PACKAGES=(
-  g++ cmake ninja-build ccache clang-format clang-tidy
+  g++ cmake ninja-build ccache curl clang-format clang-tidy
   libboost-dev libwebsocketpp-dev libpopt-dev liblog4cplus-dev libcppunit-dev libyaml-cpp-dev
   nlohmann-json3-dev librapidcheck-dev liburcu-dev libbenchmark-dev
 )
--- a/tool/daemon_client.cpp
+++ b/tool/daemon_client.cpp
@@ -61,6 +61,12 @@
   return this->Call(request, aReason);
 }
 
+std::optional<HttpAnswer>
+DaemonClient::Delete(const std::string& aTarget, Reason& aReason)
+{
+  return this->Call({ "DELETE", aTarget, {}, "" }, aReason);
+}
+
 std::optional<HttpAnswer>
 DaemonClient::Call(const HttpRequest& aRequest, Reason& aReason)
 {
--- a/tool/daemon_client.h
+++ b/tool/daemon_client.h
@@ -30,6 +30,7 @@
   std::optional<HttpAnswer> Post(const std::string& aTarget,
                                  const std::string& aBody,
                                  Reason& aReason);
+  std::optional<HttpAnswer> Delete(const std::string& aTarget, Reason& aReason);
 
   ExchangeProgress Progress() const { return this->progress; }
 
--- a/tool/sardinecourse.cpp
+++ b/tool/sardinecourse.cpp
@@ -1,3 +1,4 @@
+#include "tool/job_verbs.h"
 #include "tool/settings_verbs.h"
 #include "tool/status_verbs.h"
 
@@ -17,6 +18,8 @@
 };
 
 constexpr std::array kFamilies{
+  VerbFamily{ "explain", RunExplainVerb },
+  VerbFamily{ "job", RunJobVerbs },
   VerbFamily{ "settings", RunSettingsVerbs },
   VerbFamily{ "status", RunStatusVerbs },
 };
