--- a/tests/daemon/claim_fuzz_test.cpp
+++ b/tests/daemon/claim_fuzz_test.cpp
@@ -79,7 +79,7 @@
     bool isDecided = false;
     boost::asio::co_spawn(aWorld.context,
                           keeper.Take(request),
-                          [&](std::exception_ptr, ClaimAnswer aAnswer) {
+                          [&](const std::exception_ptr&, ClaimAnswer aAnswer) {
                             answer = std::move(aAnswer);
                             isDecided = true;
                           });
