Give the platform a while before a new host settles for its peers

Cause: under load the racing case of the history test failed once: 'e2 was ready before it had revision 324'. The platform refused for a moment just as the killed host came back, and its peers had not yet polled the revision that was accepted a moment ago. Change: a host without settings polls every 200 ms and asks its peers only when the platform has not answered for 2 s. Conclusion: a moment's outage no longer makes a new host ready with less than the platform holds; in a long one it still starts from its peers.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -22,6 +22,9 @@
 /** Time for the balancer to see that this host is no longer ready. */
 constexpr Milliseconds kReadinessGrace{ 2000 };
 constexpr Milliseconds kSettleGrace{ 1000 };
+/** Time that a new host gives the platform before it takes the settings of its
+ * peers. */
+constexpr Milliseconds kPlatformPatience{ 2000 };
 
 }
 
@@ -37,7 +40,8 @@
            this->settings.Host().DataCentre(),
            this->platform,
            this->peers,
-           this->adopter)
+           this->adopter,
+           kPlatformPatience)
   , operators(this->control,
               this->keeper,
               StatusResource(this->settings.Host(),
--- a/daemon/settings_keeper.h
+++ b/daemon/settings_keeper.h
@@ -40,11 +40,13 @@
                  DataCentreName aDataCentre,
                  Table& aTable,
                  Peers& aPeers,
-                 Adopter& aAdopter)
+                 Adopter& aAdopter,
+                 Milliseconds aPlatformPatience)
     : dataCentre(std::move(aDataCentre))
     , table(&aTable)
     , peers(&aPeers)
     , adopter(&aAdopter)
+    , settleForPeersAt(Clock::now() + aPlatformPatience)
     , timer(aContext)
   {
   }
@@ -143,15 +145,15 @@
   }
 
 private:
+  /** Of a host that has no settings yet. */
+  static constexpr Milliseconds kFirstPollInterval{ 200 };
+
   boost::asio::awaitable<void> WaitForNextPoll()
   {
     if (this->stopped || std::exchange(this->isWoken, false)) {
       co_return;
     }
-    const Milliseconds interval =
-      (this->fleet ? this->fleet->Settings() : SettingsTree())
-        .Resolve({ this->dataCentre, {}, {} })
-        .SettingsPoll();
+    const Milliseconds interval = this->PollInterval();
     boost::system::error_code ignored;
     this->timer.expires_after(interval);
     co_await this->timer.async_wait(
@@ -159,6 +161,15 @@
     this->isWoken = false;
   }
 
+  Milliseconds PollInterval() const
+  {
+    if (!this->fleet) {
+      return kFirstPollInterval;
+    }
+    const SettingsScope here{ this->dataCentre, {}, {} };
+    return this->fleet->Settings().Resolve(here).SettingsPoll();
+  }
+
   bool IsWanted(std::int64_t aRevision) const
   {
     return ShouldAdopt(this->inForce.revision, aRevision) &&
@@ -194,11 +205,15 @@
     }
   }
 
-  /** A host that has settings asks only when a peer has told of higher ones. */
+  /** A host that has settings asks only when a peer has told of higher ones. A
+   * new one gives the platform a while first: its peers may not know yet what
+   * was accepted a moment ago. */
   boost::asio::awaitable<void> AskPeers()
   {
-    const bool isNeeded = this->inForce.revision == 0 ||
-                          ShouldAdopt(this->inForce.revision, this->heard);
+    const bool isNew = this->inForce.revision == 0;
+    const bool isNeeded =
+      isNew ? Clock::now() >= this->settleForPeersAt
+            : ShouldAdopt(this->inForce.revision, this->heard);
     if (!isNeeded) {
       co_return;
     }
@@ -303,6 +318,7 @@
   Table* table;
   Peers* peers;
   Adopter* adopter;
+  Instant settleForPeersAt;
   boost::asio::steady_timer timer;
   IdentitySource identities;
   SettingsText inForce;
--- a/tests/daemon/settings_keeper_test.cpp
+++ b/tests/daemon/settings_keeper_test.cpp
@@ -72,7 +72,8 @@
              DataCentreName("east"),
              aTable,
              this->peers,
-             this->adopter)
+             this->adopter,
+             Milliseconds(0))
   {
   }
 
