Keep room for large gangs: reservations, backfill, consolidation; measure it

Large gangs waited behind small ones that scattered over the racks.

- Reservations keep a place in the rack where a large gang can start first; others use it only when they are expected to end in time.
RunTimeHistory learns run times by team, service and shape.
- A large gang may stop small borrowed ones when the work lost weighs less than the accelerator time it has waited for, by the placement weights.
- A gang that was told to stop is known as stopping, so that the next decision neither counts it twice nor looks for other victims.
- WorkerHealth and SelectQuarantined keep work off workers that fail what they start, for a quarter of the pool at most.
- The free-place search, and repacking of guarantees, are modules of their own.

--- /dev/null
+++ b/machines/worker_health.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/instant.h"
+#include "core/names.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace sardinecourse {
+
+/**
+ * How a worker fared with what it was told to start. Two failures in a row
+ * quarantine it; after a quarantine a single one does, each time for twice as
+ * long. A success clears it.
+ */
+class WorkerHealth
+{
+public:
+  explicit WorkerHealth(WorkerName aWorker);
+
+  const WorkerName& Worker() const { return this->worker; }
+  /** Failures since the last success. */
+  std::int32_t Failures() const { return this->failures; }
+  /** The end of its last quarantine. */
+  Instant QuarantinedUntil() const { return this->quarantinedUntil; }
+  bool IsQuarantined(Instant aNow) const
+  {
+    return aNow < this->quarantinedUntil;
+  }
+
+  WorkerHealth AfterSuccess() const;
+  WorkerHealth AfterFailure(Instant aNow) const;
+
+  auto operator<=>(const WorkerHealth&) const = default;
+
+private:
+  WorkerName worker;
+  std::int32_t failures = 0;
+  Instant quarantinedUntil;
+};
+
+}
--- /dev/null
+++ b/tests/policy/policy_run.h
@@ -0,0 +1,363 @@
+#pragma once
+
+#include "tests/policy/arrival_stream.h"
+#include "tests/policy/placement_policy.h"
+#include "tests/policy/run_figures.h"
+#include "zones/admission.h"
+#include "zones/data_centre_builder.h"
+#include "zones/quarantine.h"
+#include "zones/rack_value.h"
+#include "zones/run_time_history.h"
+
+#include <map>
+#include <set>
+
+namespace sardinecourse {
+
+/** One stream through one policy: a loop over arrivals and ends with a virtual
+ * clock. */
+template<PlacementPolicy Policy>
+class PolicyRun
+{
+public:
+  PolicyRun(const Scenario& aScenario,
+            const std::vector<Arrival>& aArrivals,
+            Policy aPolicy)
+    : scenario(aScenario)
+    , arrivals(aArrivals)
+    , policy(std::move(aPolicy))
+    , workers(MakeWorkers(aScenario.racks,
+                          aScenario.workersPerRack,
+                          kAcceleratorsPerWorker))
+  {
+    for (const Worker& worker : this->workers) {
+      this->health.emplace_back(worker.Name());
+    }
+  }
+
+  RunFigures Run()
+  {
+    while (this->next < this->arrivals.size() || !this->waiting.empty() ||
+           !this->active.empty()) {
+      const Instant at = this->NextEvent();
+      this->Account(at);
+      this->now = at;
+      this->Arrive();
+      this->EndGangs();
+      this->CancelWaiting();
+      this->Decide();
+    }
+    return this->figures;
+  }
+
+private:
+  // A gang is checkpointed this often, and once more when it is told to stop,
+  // which fails for one in five.
+  static constexpr std::chrono::minutes kCheckpointEvery{ 10 };
+  static constexpr std::chrono::seconds kStopTime{ 4 };
+  static constexpr std::size_t kFailedCheckpointEvery = 5;
+  static constexpr std::chrono::seconds kFailureTime{ 2 };
+  static constexpr std::chrono::minutes kTick{ 1 };
+  // One worker at a time fails all it starts, for two hours in every eight.
+  static constexpr std::chrono::hours kFaultEvery{ 8 };
+  static constexpr std::chrono::hours kFaultLength{ 2 };
+
+  struct Active
+  {
+    std::size_t arrival;
+    GangPlacement placement;
+    Instant started;
+    Instant ends;
+    bool fails;
+    std::optional<Instant> stops;
+  };
+
+  static double Hours(Clock::duration aTime)
+  {
+    return std::chrono::duration<double, std::ratio<3600>>(aTime).count();
+  }
+  static double Minutes(Clock::duration aTime) { return Hours(aTime) * 60; }
+  static std::int32_t AcceleratorsOf(const Job& aJob)
+  {
+    return aJob.GangShape().Members() *
+           aJob.GangShape().AcceleratorsPerMember();
+  }
+
+  Instant NextEvent() const
+  {
+    Instant at = this->waiting.empty() ? Instant::max() : this->now + kTick;
+    if (this->next < this->arrivals.size()) {
+      at = std::min(at, this->arrivals[this->next].at);
+    }
+    for (const Active& gang : this->active) {
+      at = std::min({ at, gang.ends, gang.stops.value_or(gang.ends) });
+    }
+    return std::max(at, this->now);
+  }
+
+  /** Adds up free accelerators since the last event, and those that neither the
+   * reference gang, half the largest, nor any waiting large one can use. */
+  void Account(Instant aUntil)
+  {
+    std::int32_t free = 0;
+    for (const AcceleratorMask mask : this->freeMasks) {
+      free += CountAccelerators(mask);
+    }
+    std::set<Shape> shapes = { MakeShape(this->scenario.largestGang / 2, 8) };
+    for (const WaitingJob& job : this->waiting) {
+      if (AcceleratorsOf(job.Request()) >= kAcceleratorsPerWorker) {
+        shapes.insert(job.Request().GangShape());
+      }
+    }
+    std::int32_t usable = 0;
+    for (const Shape shape : shapes) {
+      std::int32_t ofShape = 0;
+      for (std::size_t first = 0; first < this->freeMasks.size();
+           first += this->scenario.workersPerRack) {
+        ofShape += UsableFor(std::span(this->freeMasks)
+                               .subspan(first, this->scenario.workersPerRack),
+                             shape);
+      }
+      usable = std::max(usable, ofShape);
+    }
+    // After the last arrival the data centre empties, whatever the policy.
+    if (this->next < this->arrivals.size()) {
+      const double hours = Hours(aUntil - this->now);
+      this->figures.freeAcceleratorHours += free * hours;
+      this->figures.unusableAcceleratorHours += (free - usable) * hours;
+    }
+  }
+
+  void Arrive()
+  {
+    const DataCentre dataCentre = Made(DataCentreBuilder()
+                                         .Name(DataCentreName("one"))
+                                         .Workers(this->workers)
+                                         .Teams(this->scenario.teams));
+    for (; this->next < this->arrivals.size() &&
+           this->arrivals[this->next].at <= this->now;
+         ++this->next) {
+      Reason reason;
+      const Job& job = this->arrivals[this->next].job;
+      if (!CanEverRun(dataCentre, job, reason)) {
+        ++this->figures.refused;
+        continue;
+      }
+      this->byKey[job.Key()] = this->next;
+      this->Enqueue(this->next);
+    }
+  }
+
+  void Enqueue(std::size_t aArrival)
+  {
+    const Arrival& arrival = this->arrivals[aArrival];
+    const WaitingJob job =
+      Made(WaitingJobBuilder()
+             .Request(arrival.job)
+             .Submitted(arrival.at)
+             .ExpectedRunTime(this->history.Expected(arrival.job)));
+    const auto place = std::ranges::upper_bound(
+      this->waiting, job.Submitted(), {}, &WaitingJob::Submitted);
+    this->waiting.insert(place, job);
+  }
+
+  void EndGangs()
+  {
+    std::vector<Active> left;
+    for (const Active& gang : this->active) {
+      const Arrival& arrival = this->arrivals[gang.arrival];
+      const bool isCancelled =
+        arrival.cancelled && *arrival.cancelled <= this->now;
+      if (gang.ends <= this->now && gang.fails) {
+        this->Fail(gang);
+      } else if (gang.ends <= this->now) {
+        this->Finish(gang);
+      } else if (gang.stops && *gang.stops <= this->now) {
+        this->Stop(gang);
+      } else if (!isCancelled) {
+        left.push_back(gang);
+      }
+    }
+    this->active = left;
+  }
+
+  void Finish(const Active& aGang)
+  {
+    const Arrival& arrival = this->arrivals[aGang.arrival];
+    this->history = this->history.With(arrival.job, arrival.trueRunTime);
+    const double minutes = Minutes(aGang.ends - arrival.at);
+    if (AcceleratorsOf(arrival.job) >= kAcceleratorsPerWorker) {
+      const double runMinutes = Minutes(arrival.trueRunTime);
+      this->figures.largeMinutes.push_back(minutes);
+      this->figures.largeRunMinutes.push_back(runMinutes);
+      this->figures.largeWaitMinutes.push_back(minutes - runMinutes);
+      this->figures.largeMinutesByMembers[arrival.job.GangShape().Members()]
+        .push_back(minutes);
+    } else {
+      this->figures.smallMinutes.push_back(minutes);
+    }
+    for (const AcceleratorRange& member : aGang.placement.Members()) {
+      WorkerHealth& worker = this->HealthOf(member.Worker());
+      worker = worker.AfterSuccess();
+    }
+  }
+
+  void Fail(const Active& aGang)
+  {
+    ++this->figures.failedStarts;
+    for (const AcceleratorRange& member : aGang.placement.Members()) {
+      if (this->IsFaulty(member.Worker(), aGang.started)) {
+        WorkerHealth& worker = this->HealthOf(member.Worker());
+        worker = worker.AfterFailure(this->now);
+      }
+    }
+    this->Enqueue(aGang.arrival);
+  }
+
+  void Stop(const Active& aGang)
+  {
+    const std::size_t arrival = aGang.arrival;
+    const bool isCheckpointed = ++this->stopped % kFailedCheckpointEvery != 0;
+    const Instant kept =
+      isCheckpointed ? *aGang.stops - kStopTime : this->CheckpointOf(aGang);
+    this->done[arrival] +=
+      std::chrono::duration_cast<Milliseconds>(kept - aGang.started);
+    this->figures.lostAcceleratorHours +=
+      Hours(*aGang.stops - kept) * AcceleratorsOf(this->arrivals[arrival].job);
+    this->Enqueue(arrival);
+  }
+
+  void CancelWaiting()
+  {
+    std::erase_if(this->waiting, [this](const WaitingJob& aJob) {
+      const Arrival& arrival =
+        this->arrivals[this->byKey.at(aJob.Request().Key())];
+      return arrival.cancelled && *arrival.cancelled <= this->now;
+    });
+  }
+
+  void Decide()
+  {
+    const DataCentreLoad load = this->Load();
+    const ScheduleDecision decision =
+      this->policy.Decide(load, this->waiting, this->now);
+    for (const Preemption& preemption : decision.Preemptions()) {
+      const std::size_t victim = this->byKey.at(preemption.Key());
+      if (preemption.Text().starts_with("for=guarantee")) {
+        this->claimed.try_emplace(this->byKey.at(preemption.Claimant()),
+                                  this->now);
+      }
+      for (Active& gang : this->active) {
+        if (gang.arrival == victim && !gang.stops) {
+          gang.stops = this->now + kStopTime;
+          ++this->figures.preempted;
+        }
+      }
+    }
+    for (const GangStart& start : decision.Starts()) {
+      this->Start(start);
+    }
+    this->freeMasks.clear();
+    const DataCentreLoad after = this->Load();
+    for (const WorkerOccupancy& worker : after.Occupancy()) {
+      this->freeMasks.push_back(worker.Free());
+    }
+  }
+
+  void Start(const GangStart& aStart)
+  {
+    const std::size_t index = this->byKey.at(aStart.Request().Key());
+    const Arrival& arrival = this->arrivals[index];
+    std::erase_if(this->waiting, [&aStart](const WaitingJob& aJob) {
+      return aJob.Request().Key() == aStart.Request().Key();
+    });
+    const auto claim = this->claimed.find(index);
+    if (claim != this->claimed.end()) {
+      this->figures.reclaimSeconds.push_back(
+        Minutes(this->now - claim->second) * 60);
+      this->claimed.erase(claim);
+    }
+    if (arrival.job.Urgent() && !this->done.contains(index)) {
+      this->figures.urgentStartSeconds.push_back(
+        Minutes(this->now - arrival.at) * 60);
+    }
+    const bool fails = std::ranges::any_of(
+      aStart.Placement().Members(), [this](const AcceleratorRange& aMember) {
+        return this->IsFaulty(aMember.Worker(), this->now);
+      });
+    const Milliseconds left = arrival.trueRunTime - this->done[index];
+    const Instant ends = this->now + (fails ? kFailureTime : left);
+    this->active.push_back(
+      { index, aStart.Placement(), this->now, ends, fails, std::nullopt });
+  }
+
+  Instant CheckpointOf(const Active& aGang) const
+  {
+    return aGang.started +
+           (this->now - aGang.started) / kCheckpointEvery * kCheckpointEvery;
+  }
+
+  bool IsFaulty(const WorkerName& aWorker, Instant aAt) const
+  {
+    const auto since = aAt - kStreamStart;
+    const std::size_t faulty =
+      static_cast<std::size_t>(since / kFaultEvery) * 7 % this->workers.size();
+    return since % kFaultEvery < kFaultLength &&
+           this->workers[faulty].Name() == aWorker;
+  }
+
+  WorkerHealth& HealthOf(const WorkerName& aWorker)
+  {
+    return *std::ranges::find(this->health, aWorker, &WorkerHealth::Worker);
+  }
+
+  DataCentreLoad Load() const
+  {
+    std::vector<RunningGang> running;
+    running.reserve(this->active.size());
+    for (const Active& gang : this->active) {
+      const Job& job = this->arrivals[gang.arrival].job;
+      running.push_back(Made(RunningGangBuilder()
+                               .Team(job.Team())
+                               .Key(job.Key())
+                               .Placement(gang.placement)
+                               .GangShape(job.GangShape())
+                               .CoresPerMember(job.CoresPerMember())
+                               .MemoryPerMember(job.MemoryPerMember())
+                               .Urgent(job.Urgent())
+                               .Started(gang.started)
+                               .ExpectedRunTime(this->history.Expected(job))
+
+                               .Stopping(gang.stops.has_value())
+                               .LastCheckpoint(this->CheckpointOf(gang))));
+    }
+    return Made(DataCentreLoadBuilder()
+                  .DataCentre(DataCentreName("one"))
+                  .Workers(this->workers)
+                  .Teams(this->scenario.teams)
+                  .Running(std::move(running))
+                  .Unavailable(SelectQuarantined(
+                    this->health, this->workers.size(), this->now)));
+  }
+
+  const Scenario& scenario;
+  const std::vector<Arrival>& arrivals;
+  Policy policy;
+  std::vector<Worker> workers;
+  std::vector<WorkerHealth> health;
+  RunTimeHistory history;
+  std::vector<WaitingJob> waiting;
+  std::vector<Active> active;
+  std::vector<AcceleratorMask> freeMasks;
+  std::map<JobKey, std::size_t> byKey;
+  /** Work that survives a stop, by arrival. */
+  std::map<std::size_t, Milliseconds> done;
+  /** When gangs were first told to stop for a job, by arrival. */
+  std::map<std::size_t, Instant> claimed;
+  std::size_t next = 0;
+  std::size_t stopped = 0;
+  Instant now = kStreamStart;
+  RunFigures figures;
+};
+
+}
--- a/tests/zones/schedule_test.cpp
+++ b/tests/zones/schedule_test.cpp
@@ -1,6 +1,8 @@
+#include "machines/accelerator_range_builder.h"
 #include "tests/zones/sample_values.h"
 #include "zones/admission.h"
 #include "zones/data_centre_builder.h"
+#include "zones/gang_placement_builder.h"
 #include "zones/guarantee_packing.h"
 #include "zones/schedule.h"
 
@@ -13,6 +15,8 @@
   CPPUNIT_TEST_SUITE(ScheduleTest);
   CPPUNIT_TEST(ClaimReclaimsBorrowedGangsOfOneRack);
   CPPUNIT_TEST(SmallGangGoesWhereLargeOnesLoseLeast);
+  CPPUNIT_TEST(OnlyWhatEndsInTimeUsesAReservation);
+  CPPUNIT_TEST(LargeGangStopsSmallOnesWhenThatPays);
   CPPUNIT_TEST(JobThatNeverFitsIsRefusedWithTheReason);
   CPPUNIT_TEST(GuaranteesThatExceedTheRacksAreRefused);
   CPPUNIT_TEST_SUITE_END();
@@ -76,6 +80,67 @@
     }
   }
 
+  void OnlyWhatEndsInTimeUsesAReservation()
+  {
+    const std::vector<Team> teams = { MakeTeam("one", 64, {}) };
+    // One worker of each rack is taken for an hour by a gang that cannot be
+    // stopped for a large one, so the large gang waits for it.
+    std::vector<RunningGang> running;
+    for (const char* key : { "first", "second" }) {
+      const WaitingJob job =
+        MakeWaiting("one", key, MakeShape(1, 4), kStart, true);
+      const GangPlacement place = Made(
+        GangPlacementBuilder()
+          .Rack(RackName(running.empty() ? "rack-1000" : "rack-1001"))
+          .Members({ Made(AcceleratorRangeBuilder()
+                            .Worker(WorkerName(running.empty() ? "rack-1000-0"
+                                                               : "rack-1001-0"))
+                            .Count(4)) }));
+      running.push_back(MakeRunning(job.Request(), place, kStart));
+    }
+    const WaitingJob large =
+      MakeWaiting("one", "large", MakeShape(2, 4), kStart);
+    const auto startsOf = [&](Milliseconds aRunTime) {
+      const ScheduleDecision decision = Schedule(
+        Load(teams, running),
+        { large, Expecting("one", aRunTime), Expecting("two", aRunTime) },
+        PlacementWeights(),
+        kStart);
+      return decision.Starts().size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, startsOf(std::chrono::minutes(10)));
+    // The rack that is kept for the large gang has no room for a lasting one.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, startsOf(std::chrono::hours(10)));
+  }
+
+  void LargeGangStopsSmallOnesWhenThatPays()
+  {
+    const std::vector<Team> teams = { MakeTeam("one", 64, {}) };
+    std::vector<RunningGang> running;
+    for (const char* worker : { "rack-1000-0", "rack-1001-0" }) {
+      const WaitingJob job =
+        MakeWaiting("one", worker, MakeShape(1, 1), kStart);
+      const GangPlacement place = Made(
+        GangPlacementBuilder()
+          .Rack(RackName(std::string(worker).substr(0, 9)))
+          .Members({ Made(
+            AcceleratorRangeBuilder().Worker(WorkerName(worker)).Count(1)) }));
+      running.push_back(MakeRunning(job.Request(), place, kStart));
+    }
+    const WaitingJob large =
+      MakeWaiting("one", "large", MakeShape(2, 4), kStart);
+    const auto victims = [&](std::chrono::minutes aLater) {
+      return Schedule(Load(teams, running),
+                      { large },
+                      PlacementWeights(),
+                      kStart + aLater)
+        .Preemptions()
+        .size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 }, victims(std::chrono::minutes(0)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, victims(std::chrono::minutes(5)));
+  }
+
   void JobThatNeverFitsIsRefusedWithTheReason()
   {
     const DataCentre dataCentre = MakeDataCentre({ MakeTeam("one", 12, {}) });
@@ -110,6 +175,15 @@
   }
 
 private:
+  static WaitingJob Expecting(const std::string& aKey, Milliseconds aRunTime)
+  {
+    const WaitingJob job = MakeWaiting("one", aKey, MakeShape(1, 4), kStart);
+    return Made(WaitingJobBuilder()
+                  .Request(job.Request())
+                  .Submitted(kStart)
+                  .ExpectedRunTime(aRunTime));
+  }
+
   static constexpr Instant kStart{ std::chrono::hours(1) };
 
   static Job MakeJob(const std::string& aTeam,
--- a/zones/data_centre_load.cpp
+++ b/zones/data_centre_load.cpp
@@ -2,6 +2,7 @@
 
 #include "core/reason.h"
 #include "machines/accelerator_range_builder.h"
+#include "zones/gang_placement_builder.h"
 
 #include <algorithm>
 #include <bit>
@@ -67,4 +68,29 @@
   return static_cast<std::int32_t>(team - this->teams.begin());
 }
 
+std::optional<GangPlacement>
+DataCentreLoad::PlacementAt(const std::vector<MemberPlace>& aPlaces) const
+{
+  Reason reason;
+  std::vector<AcceleratorRange> members;
+  members.reserve(aPlaces.size());
+  for (const MemberPlace& place : aPlaces) {
+    const Worker& worker = this->workers[place.Worker()];
+    const std::optional<AcceleratorRange> range = AcceleratorRangeBuilder()
+                                                    .Worker(worker.Name())
+                                                    .First(place.First())
+                                                    .Count(place.Count())
+                                                    .Build(reason);
+    if (!range) {
+      return std::nullopt;
+    }
+    members.push_back(*range);
+  }
+  const Worker& first = this->workers[aPlaces.front().Worker()];
+  return GangPlacementBuilder()
+    .Rack(first.Rack())
+    .Members(std::move(members))
+    .Build(reason);
+}
+
 }
--- a/zones/data_centre_load.h
+++ b/zones/data_centre_load.h
@@ -44,6 +44,9 @@
   }
   /** Free accelerators of one worker, in runs of consecutive indices. */
   std::vector<AcceleratorRange> FreeRanges(std::int32_t aWorker) const;
+  /** The places by name; empty when there are none. */
+  std::optional<GangPlacement> PlacementAt(
+    const std::vector<MemberPlace>& aPlaces) const;
   /** Where the members of a gang run. */
   std::span<const MemberPlace> PlacesOf(std::int32_t aGang) const;
   /** Gangs with members on the worker, one entry a member. */
--- a/zones/guarantee_packing.cpp
+++ b/zones/guarantee_packing.cpp
@@ -1,6 +1,7 @@
 #include "zones/guarantee_packing.h"
 
 #include "core/reason.h"
+#include "machines/worker_occupancy.h"
 #include "zones/data_centre.h"
 #include "zones/guarantee_packer.h"
 #include "zones/rack.h"
@@ -14,6 +15,18 @@
 
 namespace {
 
+bool
+Overlap(const std::vector<MemberPlace>& aLeft,
+        const std::vector<MemberPlace>& aRight)
+{
+  return std::ranges::any_of(aLeft, [&aRight](const MemberPlace& aPlace) {
+    return std::ranges::any_of(aRight, [&aPlace](const MemberPlace& aOther) {
+      return aPlace.Worker() == aOther.Worker() &&
+             (aPlace.Mask() & aOther.Mask()) != 0;
+    });
+  });
+}
+
 std::string
 Describe(Shape aShape)
 {
@@ -79,6 +92,42 @@
   return partial.PackSome();
 }
 
+std::optional<std::vector<GuaranteeBlock>>
+RepackBeside(const std::vector<Rack>& aRacks,
+             const std::vector<WorkerOccupancy>& aOccupancy,
+             const std::vector<GuaranteeBlock>& aBlocks,
+             std::size_t aTaken,
+             const std::vector<MemberPlace>& aPlaces)
+{
+  std::vector<GuaranteeBlock> rest = aBlocks;
+  rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(aTaken));
+  const auto isInTheWay = [&aPlaces](const GuaranteeBlock& aOther) {
+    return Overlap(aOther.Places(), aPlaces);
+  };
+  if (std::ranges::none_of(rest, isInTheWay)) {
+    return rest;
+  }
+  std::vector<AcceleratorMask> masks;
+  masks.reserve(aOccupancy.size());
+  for (const WorkerOccupancy& worker : aOccupancy) {
+    masks.push_back(worker.Reclaimable());
+  }
+  for (const MemberPlace& place : aPlaces) {
+    masks[place.Worker()] &= ~place.Mask();
+  }
+  std::vector<GuaranteeUnit> units;
+  units.reserve(rest.size());
+  for (const GuaranteeBlock& block : rest) {
+    units.emplace_back(block.Team(), block.GangShape());
+  }
+  std::vector<GuaranteeBlock> packed =
+    PackGuarantees(aRacks, std::move(masks), std::move(units));
+  if (packed.size() < rest.size()) {
+    return std::nullopt;
+  }
+  return packed;
+}
+
 std::vector<GuaranteeUnit>
 UnitsOf(const std::vector<Team>& aTeams)
 {
--- a/zones/job_order.cpp
+++ b/zones/job_order.cpp
@@ -2,6 +2,7 @@
 
 #include "zones/data_centre_load.h"
 #include "zones/guarantee_unit.h"
+#include "zones/reclaim.h"
 
 #include <algorithm>
 #include <chrono>
@@ -20,6 +21,8 @@
   kUrgentClaim,
   kClaim,
   kUrgent,
+  kLargePatienceOver,
+  kLarge,
   kPatienceOver,
   kOther
 };
@@ -106,8 +109,12 @@
   if (aJob.Request().Urgent()) {
     return JobClass::kUrgent;
   }
-  return aNow - aJob.Submitted() > kPatience ? JobClass::kPatienceOver
-                                             : JobClass::kOther;
+  const bool isPatienceOver = aNow - aJob.Submitted() > kPatience;
+  const Shape shape = aJob.Request().GangShape();
+  if (shape.Members() * shape.AcceleratorsPerMember() >= kLeastLargeGang) {
+    return isPatienceOver ? JobClass::kLargePatienceOver : JobClass::kLarge;
+  }
+  return isPatienceOver ? JobClass::kPatienceOver : JobClass::kOther;
 }
 
 }
@@ -137,7 +144,8 @@
     const bool isClaim = claims.Take(waiting.Request());
     const JobClass jobClass = ClassOf(waiting, isClaim, aNow);
     std::int64_t& held = asked[waiting.Request().Team()];
-    const bool isByAge = jobClass == JobClass::kPatienceOver;
+    const bool isByAge = jobClass == JobClass::kPatienceOver ||
+                         jobClass == JobClass::kLargePatienceOver;
     ranks.emplace_back(jobClass, isByAge ? 0 : held, waiting.Submitted(), job);
     const Shape shape = waiting.Request().GangShape();
     held += std::int64_t{ shape.Members() } * shape.AcceleratorsPerMember();
--- a/zones/quota_ledger.cpp
+++ b/zones/quota_ledger.cpp
@@ -13,6 +13,15 @@
     this->held.push_back(aLoad.Held(static_cast<std::int32_t>(team)));
   }
   this->heldLater = this->held;
+  for (std::size_t gang = 0; gang < aLoad.Running().size(); ++gang) {
+    const RunningGang& running = aLoad.Running()[gang];
+    const std::optional<std::int32_t> team =
+      aLoad.TeamOf(static_cast<std::int32_t>(gang));
+    if (running.Stopping() && team) {
+      const Shape shape = running.GangShape();
+      this->Stop(*team, shape.Members() * shape.AcceleratorsPerMember());
+    }
+  }
 }
 
 bool
--- a/zones/reclaim.h
+++ b/zones/reclaim.h
@@ -13,9 +13,15 @@
 class Job;
 class WorkerOccupancy;
 
+/** Gangs of at least this many accelerators, a whole worker of today, are
+ * large: they find room only where small ones leave it. */
+inline constexpr std::int32_t kLeastLargeGang = 8;
+
 /** Whose borrowed gangs a job may stop. */
 enum class ReclaimReach : std::uint8_t
 {
+  /** Those that are neither urgent nor large. */
+  kSmall,
   kNotUrgent,
   kEveryBorrowed
 };
--- a/zones/reclaim_search.cpp
+++ b/zones/reclaim_search.cpp
@@ -160,8 +160,16 @@
   if (this->load.IsGuaranteed(aGang)) {
     return false;
   }
-  return this->reach == ReclaimReach::kEveryBorrowed ||
-         !this->load.Running()[aGang].Urgent();
+  const RunningGang& gang = this->load.Running()[aGang];
+  switch (this->reach) {
+    case ReclaimReach::kSmall:
+      return !gang.Urgent() && HeldBy(gang.GangShape()) < kLeastLargeGang;
+    case ReclaimReach::kNotUrgent:
+      return !gang.Urgent();
+    case ReclaimReach::kEveryBorrowed:
+      return true;
+  }
+  return false;
 }
 
 std::int64_t
--- /dev/null
+++ b/zones/run_time_history.cpp
@@ -0,0 +1,62 @@
+#include "zones/run_time_history.h"
+
+#include "contracts/job.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace sardinecourse {
+
+namespace {
+
+/** Jobs remembered of each kind. */
+constexpr std::size_t kMostRemembered = 32;
+/** Most jobs run for hours. */
+constexpr std::chrono::hours kNeverSeen{ 4 };
+
+void
+Remember(Milliseconds aRunTime, std::vector<Milliseconds>& aRunTimes)
+{
+  aRunTimes.push_back(aRunTime);
+  if (aRunTimes.size() > kMostRemembered) {
+    aRunTimes.erase(aRunTimes.begin());
+  }
+}
+
+Milliseconds
+UpperQuartile(std::vector<Milliseconds> aRunTimes)
+{
+  const auto quartile = aRunTimes.begin() + static_cast<std::ptrdiff_t>(
+                                              (aRunTimes.size() - 1) * 3 / 4);
+  std::nth_element(aRunTimes.begin(), quartile, aRunTimes.end());
+  return *quartile;
+}
+
+}
+
+RunTimeHistory
+RunTimeHistory::With(const Job& aJob, Milliseconds aRunTime) const
+{
+  RunTimeHistory next = *this;
+  Remember(aRunTime,
+           next.byKind[{ aJob.Team(), aJob.Service(), aJob.GangShape() }]);
+  Remember(aRunTime, next.byShape[aJob.GangShape()]);
+  return next;
+}
+
+Milliseconds
+RunTimeHistory::Expected(const Job& aJob) const
+{
+  const auto kind =
+    this->byKind.find({ aJob.Team(), aJob.Service(), aJob.GangShape() });
+  if (kind != this->byKind.end()) {
+    return UpperQuartile(kind->second);
+  }
+  const auto shape = this->byShape.find(aJob.GangShape());
+  if (shape != this->byShape.end()) {
+    return UpperQuartile(shape->second);
+  }
+  return kNeverSeen;
+}
+
+}
--- a/zones/running_gang.h
+++ b/zones/running_gang.h
@@ -30,6 +30,8 @@
   Milliseconds ExpectedRunTime() const { return this->expectedRunTime; }
   /** What it did since then is lost when it is stopped. */
   Instant LastCheckpoint() const { return this->lastCheckpoint; }
+  /** True when it was told to stop and has not stopped yet. */
+  bool Stopping() const { return this->stopping; }
 
   auto operator<=>(const RunningGang&) const = default;
 
@@ -46,6 +48,7 @@
   Instant started;
   Milliseconds expectedRunTime{ 0 };
   Instant lastCheckpoint;
+  bool stopping = false;
 };
 
 }
--- a/zones/running_gang_builder.cpp
+++ b/zones/running_gang_builder.cpp
@@ -76,6 +76,13 @@
   return *this;
 }
 
+RunningGangBuilder&
+RunningGangBuilder::Stopping(bool aStopping)
+{
+  this->value.stopping = aStopping;
+  return *this;
+}
+
 std::optional<RunningGang>
 RunningGangBuilder::Build(Reason& aReason) const
 {
--- a/zones/running_gang_builder.h
+++ b/zones/running_gang_builder.h
@@ -23,6 +23,7 @@
   RunningGangBuilder& Started(Instant aStarted);
   RunningGangBuilder& ExpectedRunTime(Milliseconds aExpectedRunTime);
   RunningGangBuilder& LastCheckpoint(Instant aLastCheckpoint);
+  RunningGangBuilder& Stopping(bool aStopping);
   std::optional<RunningGang> Build(Reason& aReason) const;
 
 private:
--- a/zones/scheduling_pass.cpp
+++ b/zones/scheduling_pass.cpp
@@ -1,17 +1,12 @@
 #include "zones/scheduling_pass.h"
 
 #include "contracts/placement_weights.h"
-#include "core/reason.h"
-#include "machines/accelerator_range_builder.h"
 #include "zones/data_centre_load.h"
-#include "zones/gang_fit.h"
-#include "zones/gang_placement_builder.h"
 #include "zones/guarantee_packing.h"
-#include "zones/member_room.h"
-#include "zones/rack_value.h"
 #include "zones/waiting_job.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace sardinecourse {
 
@@ -19,6 +14,9 @@
 
 /** Places that are tried for a claim besides its own block. */
 constexpr std::size_t kMostClaimTries = 3;
+constexpr const char* kForGuarantee = "for=guarantee";
+/** Fragmentation weight that adds one more reservation at a time. */
+constexpr std::int32_t kWeightPerReservation = 20;
 
 std::int32_t
 AcceleratorsOf(const Job& aJob)
@@ -26,18 +24,6 @@
   return aJob.GangShape().Members() * aJob.GangShape().AcceleratorsPerMember();
 }
 
-bool
-Overlap(const std::vector<MemberPlace>& aLeft,
-        const std::vector<MemberPlace>& aRight)
-{
-  return std::ranges::any_of(aLeft, [&aRight](const MemberPlace& aPlace) {
-    return std::ranges::any_of(aRight, [&aPlace](const MemberPlace& aOther) {
-      return aPlace.Worker() == aOther.Worker() &&
-             (aPlace.Mask() & aOther.Mask()) != 0;
-    });
-  });
-}
-
 }
 
 SchedulingPass::SchedulingPass(const DataCentreLoad& aLoad,
@@ -49,10 +35,14 @@
   , now(aNow)
   , occupancy(aLoad.Occupancy())
   , quotas(aLoad)
-  , stopping(aLoad.Running().size(), 0)
+  , reservations(aLoad, aNow)
+  , search(aLoad, this->occupancy, this->reservations, std::move(aReferences))
   , blocks(aLoad.GuaranteeBlocks())
-  , references(std::move(aReferences))
 {
+  this->stopping.reserve(aLoad.Running().size());
+  for (const RunningGang& gang : aLoad.Running()) {
+    this->stopping.push_back(gang.Stopping() ? 1 : 0);
+  }
 }
 
 void
@@ -80,6 +70,9 @@
                  " held=" + std::to_string(this->quotas.Held(*team)));
     return;
   }
+  if (this->Consolidate(aJob, *team) || this->Reserve(aJob)) {
+    return;
+  }
   this->Wait(aJob, "no rack has room for its shape");
 }
 
@@ -109,7 +102,8 @@
                            std::int32_t aTeam,
                            std::size_t aBlock)
 {
-  std::vector<FreePlace> places = this->FreePlaces(aJob);
+  std::vector<FreePlace> places =
+    this->search.Find(aJob, ReservationUse::kIgnore);
   places.resize(std::min(places.size(), kMostClaimTries),
                 FreePlace(0, 0, 0, {}));
   for (const FreePlace& place : places) {
@@ -117,7 +111,11 @@
       continue;
     }
     std::optional<std::vector<GuaranteeBlock>> rest =
-      this->BlocksBeside(place.Places(), aBlock);
+      RepackBeside(this->load.Racks(),
+                   this->occupancy,
+                   this->blocks,
+                   aBlock,
+                   place.Places());
     if (!rest) {
       continue;
     }
@@ -160,8 +158,8 @@
     if (!this->IsWithinShare(aJob, plan.Places())) {
       continue;
     }
-    std::optional<std::vector<GuaranteeBlock>> rest =
-      this->BlocksBeside(plan.Places(), aBlock);
+    std::optional<std::vector<GuaranteeBlock>> rest = RepackBeside(
+      this->load.Racks(), this->occupancy, this->blocks, aBlock, plan.Places());
     if (!rest) {
       continue;
     }
@@ -176,7 +174,7 @@
       this->Start(
         aJob, aTeam, whole->Places(), true, "guarantee=yes block=own");
     } else {
-      this->Preempt(aJob, aTeam, *whole, true);
+      this->Preempt(aJob, aTeam, *whole, kForGuarantee);
     }
     return true;
   }
@@ -186,7 +184,9 @@
 bool
 SchedulingPass::StartBorrowed(const WaitingJob& aJob, std::int32_t aTeam)
 {
-  const std::vector<FreePlace> places = this->FreePlaces(aJob);
+  const ReservationUse use = aJob.Request().Urgent() ? ReservationUse::kIgnore
+                                                     : ReservationUse::kRespect;
+  const std::vector<FreePlace> places = this->search.Find(aJob, use);
   if (places.empty()) {
     return false;
   }
@@ -200,6 +200,62 @@
   return true;
 }
 
+/**
+ * Stops small gangs that keep a large one waiting: they go on elsewhere from
+ * their checkpoints. It has to pay for itself: the work that is lost is weighed
+ * against the accelerator time for which the large gang has waited.
+ */
+bool
+SchedulingPass::Consolidate(const WaitingJob& aJob, std::int32_t aTeam)
+{
+  const std::int32_t accelerators = AcceleratorsOf(aJob.Request());
+  if (accelerators < kLeastLargeGang) {
+    return false;
+  }
+  const std::vector<ReclaimPlan> plans = PlanReclaims(this->load,
+                                                      this->occupancy,
+                                                      this->stopping,
+                                                      aJob.Request(),
+                                                      ReclaimReach::kSmall,
+                                                      this->now);
+  if (plans.empty()) {
+    return false;
+  }
+  const auto waited =
+    std::chrono::duration_cast<Milliseconds>(this->now - aJob.Submitted());
+  if (plans.front().Cost() * this->weights.Completion() >
+      accelerators * waited.count() * this->weights.Fragmentation()) {
+    return false;
+  }
+  this->Preempt(aJob, aTeam, plans.front(), "for=consolidation");
+  return true;
+}
+
+/** Keeps a place for a gang that needs whole workers: small ones find room
+ * without. */
+bool
+SchedulingPass::Reserve(const WaitingJob& aJob)
+{
+  const std::int32_t most =
+    1 + this->weights.Fragmentation() / kWeightPerReservation;
+  if (this->reserved >= most ||
+      AcceleratorsOf(aJob.Request()) < kLeastLargeGang) {
+    return false;
+  }
+  const std::optional<Instant> begin =
+    this->reservations.Reserve(this->occupancy, aJob.Request());
+  if (!begin) {
+    return false;
+  }
+  ++this->reserved;
+  const auto wait =
+    std::chrono::duration_cast<std::chrono::seconds>(*begin - this->now);
+  this->Wait(aJob,
+             "reserved, expected to start in " + std::to_string(wait.count()) +
+               " s");
+  return true;
+}
+
 bool
 SchedulingPass::ReclaimUrgent(const WaitingJob& aJob, std::int32_t aTeam)
 {
@@ -217,7 +273,7 @@
   if (!whole) {
     return false;
   }
-  this->Preempt(aJob, aTeam, *whole, false);
+  this->Preempt(aJob, aTeam, *whole, "for=urgent");
   return true;
 }
 
@@ -243,60 +299,6 @@
                        excess);
 }
 
-std::vector<FreePlace>
-SchedulingPass::FreePlaces(const WaitingJob& aJob) const
-{
-  std::vector<FreePlace> places;
-  for (std::size_t rack = 0; rack < this->load.Racks().size(); ++rack) {
-    std::optional<FreePlace> place =
-      this->FreePlaceIn(aJob, static_cast<std::int32_t>(rack));
-    if (place) {
-      places.push_back(std::move(*place));
-    }
-  }
-  std::ranges::sort(places);
-  return places;
-}
-
-std::optional<FreePlace>
-SchedulingPass::FreePlaceIn(const WaitingJob& aJob, std::int32_t aRack) const
-{
-  const Rack& rack = this->load.Racks()[aRack];
-  const Shape shape = aJob.Request().GangShape();
-  std::vector<WorkerRoom> rooms;
-  rooms.reserve(rack.Count());
-  std::vector<AcceleratorMask> free;
-  free.reserve(rack.Count());
-  std::int32_t members = 0;
-  std::int32_t largest = 0;
-  for (std::int32_t worker = rack.First(); worker < rack.First() + rack.Count();
-       ++worker) {
-    const WorkerOccupancy& taken = this->occupancy[worker];
-    rooms.push_back(RoomOf(worker,
-                           taken.Free(),
-                           taken.FreeCores(),
-                           taken.FreeMemory(),
-                           aJob.Request()));
-    members += CountMembers(rooms.back(), shape.AcceleratorsPerMember());
-    free.push_back(taken.Free());
-    largest = std::max(largest, CountAccelerators(taken.Usable()));
-  }
-  if (members < shape.Members()) {
-    return std::nullopt;
-  }
-  const std::int64_t before = RackValue(free, largest, this->references);
-  std::vector<MemberPlace> places = FitGang(rooms, shape);
-  std::int32_t freeAfter = 0;
-  for (const MemberPlace& place : places) {
-    free[place.Worker() - rack.First()] &= ~place.Mask();
-  }
-  for (const AcceleratorMask mask : free) {
-    freeAfter += CountAccelerators(mask);
-  }
-  const std::int64_t after = RackValue(free, largest, this->references);
-  return FreePlace(before - after, freeAfter, aRack, std::move(places));
-}
-
 std::optional<std::size_t>
 SchedulingPass::FindBlock(const WaitingJob& aJob, std::int32_t aTeam) const
 {
@@ -324,41 +326,6 @@
   });
 }
 
-/** Blocks for the guarantees that remain when aBlock's gang takes these places;
- * empty when one of them would be left without. */
-std::optional<std::vector<GuaranteeBlock>>
-SchedulingPass::BlocksBeside(const std::vector<MemberPlace>& aPlaces,
-                             std::size_t aBlock) const
-{
-  std::vector<GuaranteeBlock> rest = this->blocks;
-  rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(aBlock));
-  const auto isInTheWay = [&aPlaces](const GuaranteeBlock& aOther) {
-    return Overlap(aOther.Places(), aPlaces);
-  };
-  if (std::ranges::none_of(rest, isInTheWay)) {
-    return rest;
-  }
-  std::vector<AcceleratorMask> masks;
-  masks.reserve(this->occupancy.size());
-  for (const WorkerOccupancy& worker : this->occupancy) {
-    masks.push_back(worker.Reclaimable());
-  }
-  for (const MemberPlace& place : aPlaces) {
-    masks[place.Worker()] &= ~place.Mask();
-  }
-  std::vector<GuaranteeUnit> units;
-  units.reserve(rest.size());
-  for (const GuaranteeBlock& block : rest) {
-    units.emplace_back(block.Team(), block.GangShape());
-  }
-  std::vector<GuaranteeBlock> packed =
-    PackGuarantees(this->load.Racks(), std::move(masks), std::move(units));
-  if (packed.size() < rest.size()) {
-    return std::nullopt;
-  }
-  return packed;
-}
-
 void
 SchedulingPass::Start(const WaitingJob& aJob,
                       std::int32_t aTeam,
@@ -366,7 +333,7 @@
                       bool aIsGuaranteed,
                       std::string aText)
 {
-  std::optional<GangPlacement> placement = this->PlacementOf(aPlaces);
+  std::optional<GangPlacement> placement = this->load.PlacementAt(aPlaces);
   if (!placement) {
     this->Wait(aJob, "its placement could not be built");
     return;
@@ -380,7 +347,7 @@
 SchedulingPass::Preempt(const WaitingJob& aJob,
                         std::int32_t aTeam,
                         const ReclaimPlan& aPlan,
-                        bool aIsGuaranteed)
+                        const std::string& aPurpose)
 {
   const Job& job = aJob.Request();
   for (const std::int32_t victim : aPlan.Victims()) {
@@ -399,11 +366,10 @@
       gang.Key(),
       job.Team(),
       job.Key(),
-      std::string(aIsGuaranteed ? "for=guarantee" : "for=urgent") +
-        " victims=" + std::to_string(aPlan.Victims().size()) +
+      aPurpose + " victims=" + std::to_string(aPlan.Victims().size()) +
         " cost=" + std::to_string(aPlan.Cost()));
   }
-  this->Take(aJob, aTeam, aPlan.Places(), aIsGuaranteed);
+  this->Take(aJob, aTeam, aPlan.Places(), aPurpose == kForGuarantee);
   this->Wait(aJob,
              std::to_string(aPlan.Victims().size()) +
                " borrowed gangs have to stop first");
@@ -434,29 +400,4 @@
   }
 }
 
-std::optional<GangPlacement>
-SchedulingPass::PlacementOf(const std::vector<MemberPlace>& aPlaces) const
-{
-  Reason reason;
-  std::vector<AcceleratorRange> members;
-  members.reserve(aPlaces.size());
-  for (const MemberPlace& place : aPlaces) {
-    const Worker& worker = this->load.Workers()[place.Worker()];
-    const std::optional<AcceleratorRange> range = AcceleratorRangeBuilder()
-                                                    .Worker(worker.Name())
-                                                    .First(place.First())
-                                                    .Count(place.Count())
-                                                    .Build(reason);
-    if (!range) {
-      return std::nullopt;
-    }
-    members.push_back(*range);
-  }
-  const Worker& first = this->load.Workers()[aPlaces.front().Worker()];
-  return GangPlacementBuilder()
-    .Rack(first.Rack())
-    .Members(std::move(members))
-    .Build(reason);
-}
-
 }
