--- a/core/percent_encoding.h
+++ b/core/percent_encoding.h
@@ -6,7 +6,7 @@
 namespace sardinecourse {
 
 /** Percent-encodes all but letters, digits, '-', '_' and '.', for use in a path
- * (RFC 3986, section 2.1). */
+ * or a query (RFC 3986, section 2.1). */
 std::string
 PercentEncode(std::string_view aText);
 
--- a/daemon/job_service.cpp
+++ b/daemon/job_service.cpp
@@ -24,7 +24,6 @@
 constexpr int kRedirect = 307;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-constexpr int kMostWeight = 100;
 constexpr int kRenewalsPerLease = 3;
 constexpr int kMarginsPerLease = 5;
 constexpr int kPollsPerTaskLease = 3;
@@ -45,14 +44,10 @@
 PlacementWeights
 WeightsOf(const Policy& aPolicy)
 {
-  const auto bounded = [](std::int64_t aWeight) {
-    return static_cast<std::int32_t>(
-      std::min<std::int64_t>(aWeight, kMostWeight));
-  };
   Reason reason;
   return PlacementWeightsBuilder()
-    .Completion(bounded(aPolicy.CompletionWeight()))
-    .Fragmentation(bounded(aPolicy.FragmentationWeight()))
+    .Completion(static_cast<std::int32_t>(aPolicy.CompletionWeight()))
+    .Fragmentation(static_cast<std::int32_t>(aPolicy.FragmentationWeight()))
     .Build(reason)
     .value_or(PlacementWeights());
 }
--- a/links/http_target.h
+++ b/links/http_target.h
@@ -26,8 +26,4 @@
   std::map<std::string, std::string> query;
 };
 
-/** Escapes a text so that it may stand in a query. */
-std::string
-EscapeQuery(std::string_view aText);
-
 }
--- a/tool/settings_verbs.cpp
+++ b/tool/settings_verbs.cpp
@@ -7,7 +7,7 @@
 #include "contracts/settings_answer.h"
 #include "contracts/settings_proposal.h"
 #include "contracts/settings_text.h"
-#include "links/http_target.h"
+#include "core/percent_encoding.h"
 #include "tool/common_options.h"
 #include "tool/daemon_client.h"
 #include "tool/printing.h"
@@ -194,9 +194,9 @@
   if (aOptions.isOrigin == 0) {
     return "/settings";
   }
-  return "/settings/origin?data_centre=" + EscapeQuery(aOptions.dataCentre) +
-         "&team=" + EscapeQuery(aOptions.team) +
-         "&service=" + EscapeQuery(aOptions.service);
+  return "/settings/origin?data_centre=" + PercentEncode(aOptions.dataCentre) +
+         "&team=" + PercentEncode(aOptions.team) +
+         "&service=" + PercentEncode(aOptions.service);
 }
 
 ExitCode
