Write figures for the metrics address in one place

Cause: DomainMetrics and RequestMetrics each wrote buckets and counters by hand. Change: codecs/metrics_text serves both; a metric's lines stay together.

--- a/daemon/request_metrics.cpp
+++ b/daemon/request_metrics.cpp
@@ -1,11 +1,12 @@
 #include "daemon/request_metrics.h"
 
+#include "codecs/metrics_text.h"
 #include "machines/minion_slot.h"
 #include "zones/minion_table.h"
 
 #include <array>
 #include <boost/histogram.hpp>
-#include <sstream>
+#include <string_view>
 
 namespace sardinecourse {
 
@@ -35,26 +36,28 @@
     DurationAxis(kBoundsSeconds.begin(), kBoundsSeconds.end()));
 }
 
-void
-WriteCounter(std::ostream& aTo, std::string_view aName, std::uint64_t aValue)
+std::string
+OutcomeLabel(RequestOutcome aOutcome)
 {
-  aTo << "# TYPE " << aName << " counter\n" << aName << ' ' << aValue << '\n';
+  return "outcome=\"" + std::string(RequestOutcomeName(aOutcome)) + '"';
 }
 
 void
-WriteMinions(std::ostream& aTo, const MinionTable& aTable)
+WriteMinions(MetricsText& aTo, const MinionTable& aTable)
 {
-  aTo << "# TYPE sardinecourse_minion_in_flight gauge\n"
-         "# TYPE sardinecourse_minion_connections gauge\n"
-         "# TYPE sardinecourse_minion_leaving gauge\n";
+  constexpr std::string_view kInFlight = "sardinecourse_minion_in_flight";
+  constexpr std::string_view kConnections = "sardinecourse_minion_connections";
+  constexpr std::string_view kLeaving = "sardinecourse_minion_leaving";
+  for (const std::string_view name : { kInFlight, kConnections, kLeaving }) {
+    aTo.Type(name, "gauge");
+  }
   for (const auto& slot : aTable.All()) {
-    const std::string labels = "{minion=\"" + slot->Upstream().Name().Text() +
+    const std::string labels = "minion=\"" + slot->Upstream().Name().Text() +
                                "\",service=\"" +
-                               slot->Upstream().Service().Text() + "\"} ";
-    aTo << "sardinecourse_minion_in_flight" << labels << slot->InFlight()
-        << "\nsardinecourse_minion_connections" << labels
-        << slot->OpenConnections() << "\nsardinecourse_minion_leaving" << labels
-        << (slot->Leaving() ? 1 : 0) << '\n';
+                               slot->Upstream().Service().Text() + '"';
+    aTo.Value(kInFlight, labels, slot->InFlight());
+    aTo.Value(kConnections, labels, slot->OpenConnections());
+    aTo.Value(kLeaving, labels, slot->Leaving() ? 1 : 0);
   }
 }
 
@@ -101,43 +104,34 @@
 std::string
 RequestMetrics::Text(const MinionTable& aTable) const
 {
-  std::ostringstream text;
-  text << "# TYPE sardinecourse_request_duration_seconds histogram\n";
-  std::ostringstream totals;
-  totals << "# TYPE sardinecourse_requests_total counter\n";
+  constexpr std::string_view kDuration =
+    "sardinecourse_request_duration_seconds";
+  constexpr std::string_view kTotal = "sardinecourse_requests_total";
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  MetricsText text;
+  std::array<std::uint64_t, kOutcomes.size()> counts{};
+  text.Type(kDuration, "histogram");
   for (std::size_t outcome = 0; outcome < kOutcomes.size(); ++outcome) {
-    const std::string label =
-      "outcome=\"" + std::string(RequestOutcomeName(kOutcomes[outcome])) + '"';
-    std::uint64_t count = 0;
-    // The bins before the first bound, between bounds, and after the last.
-    for (int bin = -1; bin < static_cast<int>(kBoundsSeconds.size()); ++bin) {
-      count +=
-        this->histograms->durations.at(static_cast<int>(outcome), bin).load();
-      const std::size_t bound = static_cast<std::size_t>(bin) + 1;
-      text << "sardinecourse_request_duration_seconds_bucket{" << label
-           << ",le=\"";
-      if (bound < kBoundsSeconds.size()) {
-        text << kBoundsSeconds[bound];
-      } else {
-        text << "+Inf";
-      }
-      text << "\"} " << count << '\n';
-    }
-    constexpr double kMicrosecondsPerSecond = 1e6;
+    const std::string label = OutcomeLabel(kOutcomes[outcome]);
+    counts[outcome] =
+      text.Buckets(kDuration, label, kBoundsSeconds, [&](int aBucket) {
+        return this->histograms->durations
+          .at(static_cast<int>(outcome), aBucket)
+          .load();
+      });
     const double sum =
       static_cast<double>(this->histograms->microseconds[outcome].load()) /
       kMicrosecondsPerSecond;
-    text << "sardinecourse_request_duration_seconds_sum{" << label << "} "
-         << sum << "\nsardinecourse_request_duration_seconds_count{" << label
-         << "} " << count << '\n';
-    totals << "sardinecourse_requests_total{" << label << "} " << count << '\n';
+    text.Value("sardinecourse_request_duration_seconds_sum", label, sum);
+  }
+  text.Type(kTotal, "counter");
+  for (std::size_t outcome = 0; outcome < kOutcomes.size(); ++outcome) {
+    text.Value(kTotal, OutcomeLabel(kOutcomes[outcome]), counts[outcome]);
   }
-  text << totals.str();
-  WriteCounter(
-    text, "sardinecourse_request_retries_total", this->retries.load());
-  WriteCounter(text, "sardinecourse_requests_shed_total", this->shed.load());
+  text.Counter("sardinecourse_request_retries_total", this->retries.load());
+  text.Counter("sardinecourse_requests_shed_total", this->shed.load());
   WriteMinions(text, aTable);
-  return text.str();
+  return text.Text();
 }
 
 }
--- a/scheduling/domain_metrics.cpp
+++ b/scheduling/domain_metrics.cpp
@@ -1,11 +1,11 @@
 #include "scheduling/domain_metrics.h"
 
+#include "codecs/metrics_text.h"
 #include "contracts/event_names.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/histogram.hpp>
-#include <sstream>
 #include <string_view>
 
 namespace sardinecourse {
@@ -51,29 +51,6 @@
     DurationAxis(kBoundsSeconds.begin(), kBoundsSeconds.end()));
 }
 
-/** One histogram in the text format: cumulative buckets and their count. */
-template<typename CountOf>
-void
-WriteBuckets(std::ostream& aTo,
-             const std::string& aName,
-             const std::string& aLabels,
-             CountOf aCountOf)
-{
-  std::uint64_t sum = 0;
-  for (std::size_t next = 0; next <= kBoundsSeconds.size(); ++next) {
-    // Index -1 counts what is below the first bound.
-    sum += aCountOf(static_cast<int>(next) - 1);
-    aTo << aName << "_bucket{" << aLabels << ",le=\"";
-    if (next == kBoundsSeconds.size()) {
-      aTo << "+Inf";
-    } else {
-      aTo << kBoundsSeconds.at(next);
-    }
-    aTo << "\"} " << sum << '\n';
-  }
-  aTo << aName << "_count{" << aLabels << "} " << sum << '\n';
-}
-
 }
 
 struct DomainMetrics::Figures
@@ -83,6 +60,19 @@
   std::array<std::atomic<std::uint64_t>, kEvents.size()> events{};
 };
 
+DomainMetrics::Event
+DomainMetrics::EventOf(RunEnd aEnd)
+{
+  switch (aEnd) {
+    case RunEnd::kDone:
+      return Event::kRunDone;
+    case RunEnd::kFailed:
+      return Event::kRunFailed;
+    default:
+      return Event::kRunLost;
+  }
+}
+
 DomainMetrics::DomainMetrics()
   : figures(std::make_unique<Figures>())
 {
@@ -125,36 +115,35 @@
 std::string
 DomainMetrics::Text() const
 {
-  std::ostringstream text;
+  MetricsText text;
   for (std::size_t event = 0; event < kEvents.size(); ++event) {
-    const std::string name =
-      "sardinecourse_" + std::string(kEvents[event]) + "_total";
-    text << "# TYPE " << name << " counter\n"
-         << name << ' ' << this->CountOf(static_cast<Event>(event)) << '\n';
+    text.Counter("sardinecourse_" + std::string(kEvents[event]) + "_total",
+                 this->CountOf(static_cast<Event>(event)));
   }
-  text << "# TYPE sardinecourse_call_seconds histogram\n";
+  constexpr std::string_view kCallSeconds = "sardinecourse_call_seconds";
+  text.Type(kCallSeconds, "histogram");
   for (int call = 0; call < kCalls; ++call) {
     for (int outcome = 0; outcome < kReplies; ++outcome) {
       const std::string labels =
         "call=\"" + std::string(JobCallName(static_cast<JobCall::Kind>(call))) +
         "\",outcome=\"" +
         std::string(JobReplyName(static_cast<JobReply::Kind>(outcome))) + '"';
-      WriteBuckets(
-        text, "sardinecourse_call_seconds", labels, [&](int aBucket) {
-          return this->figures->calls.at(call, outcome, aBucket).load();
-        });
+      text.Buckets(kCallSeconds, labels, kBoundsSeconds, [&](int aBucket) {
+        return this->figures->calls.at(call, outcome, aBucket).load();
+      });
     }
   }
-  text << "# TYPE sardinecourse_placement_wait_seconds histogram\n";
+  constexpr std::string_view kWaits = "sardinecourse_placement_wait_seconds";
+  text.Type(kWaits, "histogram");
   for (int priority = 0; priority < kPriorities; ++priority) {
-    WriteBuckets(text,
-                 "sardinecourse_placement_wait_seconds",
+    text.Buckets(kWaits,
                  "priority=\"" + std::to_string(priority) + '"',
+                 kBoundsSeconds,
                  [&](int aBucket) {
                    return this->figures->waits.at(priority, aBucket).load();
                  });
   }
-  return text.str();
+  return text.Text();
 }
 
 }
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -2,6 +2,7 @@
 
 #include "contracts/job_call.h"
 #include "contracts/job_reply.h"
+#include "contracts/run_end.h"
 #include "core/instant.h"
 
 #include <atomic>
@@ -33,6 +34,9 @@
     kRunLost
   };
 
+  /** What an end of a run counts as. */
+  static Event EventOf(RunEnd aEnd);
+
   DomainMetrics();
   ~DomainMetrics();
 
