Tell dropped log lines in an event like all others

Cause: the line log_dropped was written by hand without at_ms, so sardinecourse logs counted it as no event. Change: EncodeLoggedEvent writes it; WallNow() in place of four casts. Test: DroppedLinesAreToldInAnEventLikeOthers (waits for ever on the old line).

--- a/core/wall_time.cpp
+++ b/core/wall_time.cpp
@@ -5,6 +5,13 @@
 
 namespace sardinecourse {
 
+WallTime
+WallNow()
+{
+  return std::chrono::time_point_cast<Milliseconds>(
+    std::chrono::system_clock::now());
+}
+
 std::string
 WallTimeText(WallTime aTime)
 {
--- a/core/wall_time.h
+++ b/core/wall_time.h
@@ -11,6 +11,10 @@
  * that of another host. */
 using WallTime = std::chrono::sys_time<Milliseconds>;
 
+/** What this host's calendar clock shows. */
+WallTime
+WallNow();
+
 /** For example "2026-01-31T09:30:00Z". */
 std::string
 WallTimeText(WallTime aTime);
--- a/daemon/event_appender.cpp
+++ b/daemon/event_appender.cpp
@@ -1,6 +1,9 @@
 #include "daemon/event_appender.h"
 
+#include "codecs/logged_event_json.h"
+#include "contracts/logged_event.h"
 #include "core/instant.h"
+#include "core/wall_time.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -84,7 +87,11 @@
   std::string text = std::exchange(this->buffer, {});
   const std::uint64_t lost = std::exchange(this->dropped, 0);
   if (lost > 0) {
-    text += R"({"event":"log_dropped","lines":)" + std::to_string(lost) + "}\n";
+    text += EncodeLoggedEvent(
+      { .at = WallNow().time_since_epoch(),
+        .event = "log_dropped",
+        .fields = { { "lines", static_cast<std::int64_t>(lost) } } });
+    text += '\n';
   }
   return text;
 }
--- a/daemon/settings_keeper.h
+++ b/daemon/settings_keeper.h
@@ -10,6 +10,7 @@
 #include "core/identity_source.h"
 #include "core/instant.h"
 #include "core/reason.h"
+#include "core/wall_time.h"
 #include "daemon/settings_adopter.h"
 #include "daemon/settings_log.h"
 #include "daemon/settings_peers.h"
@@ -304,8 +305,7 @@
       answer.record = newest;
       co_return answer;
     }
-    const auto now = std::chrono::time_point_cast<Milliseconds>(
-      std::chrono::system_clock::now());
+    const auto now = WallNow();
     const std::string identity = this->identities.Next();
     const std::optional<SettingsRecord> next =
       NextRecord(newest, aProposal, identity, now, answer.reason);
--- a/scheduling/event_line.cpp
+++ b/scheduling/event_line.cpp
@@ -2,8 +2,8 @@
 
 #include "codecs/logged_event_json.h"
 #include "core/reason.h"
+#include "core/wall_time.h"
 
-#include <chrono>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
@@ -11,9 +11,7 @@
 
 EventLine::EventLine(std::string_view aEvent)
 {
-  const auto now = std::chrono::time_point_cast<Milliseconds>(
-    std::chrono::system_clock::now());
-  this->line.at = now.time_since_epoch();
+  this->line.at = WallNow().time_since_epoch();
   this->line.event = aEvent;
 }
 
--- a/scheduling/job_desk.h
+++ b/scheduling/job_desk.h
@@ -9,6 +9,7 @@
 #include "contracts/job_progress_builder.h"
 #include "contracts/job_reply.h"
 #include "core/reason.h"
+#include "core/wall_time.h"
 #include "links/row_store.h"
 #include "scheduling/call_scope.h"
 #include "scheduling/catalog_board.h"
@@ -249,8 +250,7 @@
                              const CallScope& aScope) const
   {
     Reason ignored; // The scope has a queue and a job's key.
-    const auto now = std::chrono::time_point_cast<Milliseconds>(
-      std::chrono::system_clock::now());
+    const auto now = WallNow();
     const auto job = AdmittedJobBuilder()
                        .Key(aScope.job)
                        .Queue(aScope.queue.Name())
--- a/tests/daemon/event_appender_test.cpp
+++ b/tests/daemon/event_appender_test.cpp
@@ -1,6 +1,9 @@
 #include "daemon/event_appender.h"
 
+#include "codecs/logged_event_json.h"
+#include "contracts/logged_event.h"
 #include "core/instant.h"
+#include "core/reason.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <log4cplus/initializer.h>
@@ -8,6 +11,7 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unistd.h>
 
@@ -27,6 +31,7 @@
   CPPUNIT_TEST_SUITE(EventAppenderTest);
   CPPUNIT_TEST(AFloodBehindAReaderThatDoesNotReadBlocksNothing);
   CPPUNIT_TEST(LinesArriveInOrder);
+  CPPUNIT_TEST(DroppedLinesAreToldInAnEventLikeOthers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -76,7 +81,43 @@
     CPPUNIT_ASSERT_EQUAL(expected, read.substr(0, length));
   }
 
+  void DroppedLinesAreToldInAnEventLikeOthers()
+  {
+    const std::string text(100, 'x');
+    for (int line = 0; line < kFloodLines; ++line) {
+      LOG4CPLUS_INFO(this->logger, text);
+    }
+    const auto lost = static_cast<std::int64_t>(this->appender->Dropped());
+    CPPUNIT_ASSERT(lost > 0);
+    // Lines that were lost while an earlier part was written are told with it.
+    std::int64_t told = 0;
+    while (told < lost) {
+      Reason reason;
+      const auto event = DecodeLoggedEvent(this->ReadLine(), reason);
+      if (event) {
+        CPPUNIT_ASSERT_EQUAL(std::string("log_dropped"), event->event);
+        CPPUNIT_ASSERT(event->at > Milliseconds(0));
+        told += event->Number("lines");
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(lost, told);
+  }
+
 private:
+  /** The next line of the log, without its end. */
+  std::string ReadLine()
+  {
+    std::string line;
+    char next = 0;
+    while (true) {
+      CPPUNIT_ASSERT_EQUAL(ssize_t{ 1 }, ::read(this->ends[0], &next, 1));
+      if (next == '\n') {
+        return line;
+      }
+      line += next;
+    }
+  }
+
   log4cplus::Initializer initializer;
   log4cplus::Logger logger = log4cplus::Logger::getInstance("appender_test");
   EventAppender* appender = nullptr;
