Split the holder's loops by what they do

Change: DomainTerm is what the loops of a term share; DomainFeeds, WorkerLooks, OrderSender, ProgressWriter and DomainUpkeep are its loops; decision_events writes their lines of the log. DomainHolder starts them and decides. Conclusion: no decision changes. Scheduling, daemon, platform, codecs, domain history and shutdown pass.

--- /dev/null
+++ b/scheduling/decision_events.cpp
@@ -0,0 +1,104 @@
+#include "scheduling/decision_events.h"
+
+#include "contracts/ended_task.h"
+#include "contracts/event_names.h"
+#include "core/reason.h"
+#include "scheduling/event_line.h"
+#include "zones/placed_unit.h"
+#include "zones/preempted_unit.h"
+#include "zones/start_order.h"
+#include "zones/stop_order.h"
+
+namespace sardinecourse {
+
+namespace {
+
+void
+AddTask(EventLine& aLine, const TaskAddress& aTask, std::int64_t aRun)
+{
+  aLine.Field("job", aTask.Job().Text())
+    .Field("step", aTask.Step())
+    .Field("task", aTask.Index())
+    .Field("run", aRun);
+}
+
+void
+EmitOutcome(EventLine& aLine,
+            std::int64_t aTerm,
+            OrderOutcome aOutcome,
+            const Reason& aReason)
+{
+  aLine.Field("term", aTerm).Field("outcome", OrderOutcomeName(aOutcome));
+  if (aOutcome != OrderOutcome::kDone) {
+    aLine.Field(aReason);
+  }
+  aLine.Emit();
+}
+
+}
+
+void
+LogPlaced(const PlacedUnit& aPlaced, std::int32_t aPriority, std::int64_t aTerm)
+{
+  EventLine("unit_placed")
+    .Field("job", aPlaced.unit.job.Text())
+    .Field("unit", static_cast<std::int64_t>(aPlaced.unit.unit))
+    .Field("run", aPlaced.run)
+    .Field("members", aPlaced.members)
+    .Field("racks", aPlaced.racks)
+    .Field("cores", static_cast<std::int64_t>(aPlaced.cores))
+    .Field("priority", aPriority)
+    .Field("waited_ms", aPlaced.waited.count())
+    .Field("term", aTerm)
+    .Emit();
+}
+
+void
+LogPreempted(const PreemptedUnit& aPreempted, std::int64_t aTerm)
+{
+  EventLine("unit_preempted")
+    .Field("job", aPreempted.unit.job.Text())
+    .Field("unit", static_cast<std::int64_t>(aPreempted.unit.unit))
+    .Field("run", aPreempted.run)
+    .Field("in_favour_of", aPreempted.inFavourOf.job.Text())
+    .Field("lost_core_s", static_cast<std::int64_t>(aPreempted.waste))
+    .Field("term", aTerm)
+    .Emit();
+}
+
+void
+LogEnd(const WorkerName& aWorker, const EndedTask& aEnd)
+{
+  EventLine line("run_ended");
+  AddTask(line, aEnd.Task(), aEnd.Run());
+  line.Field("worker", aWorker.Text())
+    .Field("how", RunEndName(aEnd.How()))
+    .Emit();
+}
+
+void
+LogStart(const StartOrder& aStart,
+         std::int64_t aTerm,
+         OrderOutcome aOutcome,
+         const Reason& aReason)
+{
+  EventLine line("start_ordered");
+  AddTask(line, aStart.Task(), aStart.Run());
+  line.Field("worker", aStart.Worker().Text());
+  EmitOutcome(line, aTerm, aOutcome, aReason);
+}
+
+void
+LogStop(const StopOrder& aStop,
+        std::int64_t aTerm,
+        OrderOutcome aOutcome,
+        const Reason& aReason)
+{
+  EventLine line("stop_ordered");
+  AddTask(line, aStop.Task(), aStop.Run());
+  line.Field("worker", aStop.Worker().Text())
+    .Field("cause", StopCauseName(aStop.Cause()));
+  EmitOutcome(line, aTerm, aOutcome, aReason);
+}
+
+}
--- /dev/null
+++ b/scheduling/decision_events.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/names.h"
+#include "links/worker_orders.h"
+
+#include <cstdint>
+
+namespace sardinecourse {
+
+class EndedTask;
+class Reason;
+class StartOrder;
+class StopOrder;
+struct PlacedUnit;
+struct PreemptedUnit;
+
+/** The log's lines on what a holder decides for a unit and hears of its runs;
+ * aTerm is the holder's fencing token. */
+void
+LogPlaced(const PlacedUnit& aPlaced,
+          std::int32_t aPriority,
+          std::int64_t aTerm);
+void
+LogPreempted(const PreemptedUnit& aPreempted, std::int64_t aTerm);
+void
+LogEnd(const WorkerName& aWorker, const EndedTask& aEnd);
+void
+LogStart(const StartOrder& aStart,
+         std::int64_t aTerm,
+         OrderOutcome aOutcome,
+         const Reason& aReason);
+void
+LogStop(const StopOrder& aStop,
+        std::int64_t aTerm,
+        OrderOutcome aOutcome,
+        const Reason& aReason);
+
+}
--- /dev/null
+++ b/scheduling/domain_feeds.h
@@ -0,0 +1,235 @@
+#pragma once
+
+#include "codecs/admitted_job_json.h"
+#include "codecs/job_progress_json.h"
+#include "core/reason.h"
+#include "scheduling/event_line.h"
+#include "scheduling/platform_words.h"
+#include "scheduling/row_feed.h"
+#include "scheduling/store_rows.h"
+#include "scheduling/worker_looks.h"
+#include "zones/domain_book.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sardinecourse {
+
+/** Keeps a term's book up to date with what the store holds of jobs and
+ * workers. */
+template<typename Term, PlatformWords Words>
+class DomainFeeds
+{
+public:
+  DomainFeeds(Term& aTerm, WorkerLooks<Term>& aLooks)
+    : term(&aTerm)
+    , looks(&aLooks)
+    , workerFeed(aTerm.Rows(), Words::WorkerTable(), "", "")
+  {
+  }
+
+  boost::asio::awaitable<bool> Load(Reason& aReason)
+  {
+    this->workerFeed.Restart();
+    const std::optional<RowPage> workers =
+      co_await this->workerFeed.Next(kFeedWait, aReason);
+    if (!workers) {
+      co_return false;
+    }
+    const bool isRead = co_await this->ReadJobs(aReason);
+    if (!isRead) {
+      co_return false;
+    }
+    // Looks begin here. Before the jobs are known, all that runs would count as
+    // wanted by nobody and be stopped.
+    this->TakeInWorkers(*workers, true);
+    co_return true;
+  }
+
+  boost::asio::awaitable<void> FollowJobs()
+  {
+    while (this->term->IsActive()) {
+      Reason reason;
+      std::string table = kJobTable;
+      const auto page = co_await this->term->Rows().Changes(
+        std::move(table), this->jobsAfter, kFeedWait, reason);
+      if (!this->term->IsActive()) {
+        co_return;
+      }
+      if (!page) {
+        EventLine("feed_failed").Field("feed", "jobs").Field(reason).Emit();
+        co_await this->term->PauseFor(kFeedRetryPause);
+        continue;
+      }
+      if (page->IsHistoryLost()) {
+        co_await this->ReloadJobs();
+        continue;
+      }
+      this->TakeInChangedJobs(page->Rows());
+      this->jobsAfter = page->Revision();
+      if (!page->Rows().empty()) {
+        this->term->Kick();
+      }
+    }
+  }
+
+  boost::asio::awaitable<void> FollowWorkers()
+  {
+    while (this->term->IsActive()) {
+      Reason reason;
+      const std::optional<RowPage> page =
+        co_await this->workerFeed.Next(kFeedWait, reason);
+      if (!this->term->IsActive()) {
+        co_return;
+      }
+      if (!page) {
+        EventLine("feed_failed").Field("feed", "workers").Field(reason).Emit();
+        co_await this->term->PauseFor(kFeedRetryPause);
+        continue;
+      }
+      if (page->IsHistoryLost()) {
+        EventLine("store_history_lost").Field("use", "workers").Emit();
+        continue;
+      }
+      this->TakeInWorkers(*page, this->workerFeed.IsWhole());
+      this->term->Kick();
+    }
+  }
+
+private:
+  /** A feed that failed is asked again after this time: an outage lasts
+   * seconds, and the store counts refused calls as well. */
+  static constexpr Milliseconds kFeedRetryPause{ 300 };
+  static constexpr Milliseconds kFeedWait{ 2000 };
+
+  /** Reads all jobs. One that is admitted meanwhile comes by the feed, which
+   * goes on from before the read. */
+  boost::asio::awaitable<bool> ReadJobs(Reason& aReason)
+  {
+    std::string jobTable = kJobTable;
+    std::string progressTable = kProgressTable;
+    const auto jobs =
+      co_await this->term->Rows().Read(std::move(jobTable), "", "", aReason);
+    if (!jobs || !this->term->IsActive()) {
+      co_return false;
+    }
+    const auto progress = co_await this->term->Rows().Read(
+      std::move(progressTable), "", "", aReason);
+    if (!progress || !this->term->IsActive()) {
+      co_return false;
+    }
+    this->TakeInJobs(jobs->Rows(), progress->Rows());
+    this->jobsAfter = jobs->Revision();
+    co_return true;
+  }
+
+  void TakeInJobs(const std::vector<TableRow>& aJobs,
+                  const std::vector<TableRow>& aProgress)
+  {
+    std::map<std::string, const TableRow*> progress;
+    for (const TableRow& row : aProgress) {
+      progress[row.Key()] = &row;
+    }
+    for (const TableRow& row : aJobs) {
+      if (!CancelledJob(row.Key())) {
+        const auto found = progress.find(row.Key());
+        this->TakeInJob(row, found == progress.end() ? nullptr : found->second);
+      }
+    }
+    // A job that was known already keeps the progress that it had.
+    for (const TableRow& row : aJobs) {
+      if (const std::optional<JobKey> cancelled = CancelledJob(row.Key())) {
+        this->term->Book().CancelJob(*cancelled, Clock::now());
+      }
+    }
+  }
+
+  /** A new job's progress was written in the same transaction, so it has the
+   * revision of the job's own row. */
+  void TakeInJob(const TableRow& aJob, const TableRow* aProgress)
+  {
+    Reason reason;
+    std::optional<AdmittedJob> job = DecodeAdmittedJob(aJob.Value(), reason);
+    std::optional<JobProgress> progress;
+    if (job && aProgress != nullptr) {
+      progress = DecodeJobProgress(aProgress->Value(), reason);
+    }
+    if (!job || (aProgress != nullptr && !progress)) {
+      EventLine("job_unreadable").Field("job", aJob.Key()).Field(reason).Emit();
+      return;
+    }
+    const std::int64_t revision =
+      aProgress == nullptr ? aJob.Revision() : aProgress->Revision();
+    this->term->Book().AddJob(
+      std::move(*job), progress, revision, Clock::now());
+  }
+
+  void TakeInChangedJobs(const std::vector<TableRow>& aRows)
+  {
+    for (const TableRow& row : aRows) {
+      const std::optional<JobKey> cancelled = CancelledJob(row.Key());
+      if (cancelled) {
+        this->term->Book().CancelJob(*cancelled, Clock::now());
+        EventLine("job_cancelled")
+          .Field("job", cancelled->Text())
+          .Field("seen_in", "jobs")
+          .Emit();
+        continue;
+      }
+      this->TakeInJob(row, nullptr);
+    }
+  }
+
+  /** The store has dropped its history: reads all rows again. */
+  boost::asio::awaitable<void> ReloadJobs()
+  {
+    EventLine("store_history_lost").Field("use", "jobs").Emit();
+    Reason reason;
+    const bool isRead = co_await this->ReadJobs(reason);
+    if (!isRead) {
+      EventLine("feed_failed").Field("feed", "jobs").Field(reason).Emit();
+      co_await this->term->PauseFor(Term::kRetryPause);
+      co_return;
+    }
+    this->term->Kick();
+  }
+
+  void TakeInWorkers(const RowPage& aPage, bool aIsWhole)
+  {
+    std::set<WorkerName> listed;
+    for (const TableRow& row : aPage.Rows()) {
+      Reason reason;
+      const auto worker = Words::DecodeWorker(row, reason);
+      if (!worker) {
+        EventLine("worker_entry_refused").Field(reason).Emit();
+        this->term->Book().UnlistWorker(WorkerName(row.Key()));
+        continue;
+      }
+      listed.insert(worker->Name());
+      this->term->Book().ListWorker(*worker, Clock::now());
+      this->looks->LookAt(worker->Name());
+    }
+    for (const std::string& key : aPage.RemovedKeys()) {
+      this->term->Book().UnlistWorker(WorkerName(key));
+    }
+    if (!aIsWhole) {
+      return;
+    }
+    for (const auto& [name, worker] : this->term->Book().Workers()) {
+      if (!listed.contains(name)) {
+        this->term->Book().UnlistWorker(name);
+      }
+    }
+  }
+
+  Term* term;
+  WorkerLooks<Term>* looks;
+  RowFeed<typename Term::StoreLink> workerFeed;
+  std::int64_t jobsAfter = 0;
+};
+
+}
--- /dev/null
+++ b/scheduling/order_sender.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "core/reason.h"
+#include "links/worker_orders.h"
+#include "scheduling/decision_events.h"
+#include "scheduling/domain_metrics.h"
+#include "zones/domain_book.h"
+#include "zones/start_order.h"
+#include "zones/stop_order.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <iterator>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sardinecourse {
+
+/** Gives a term's orders to the workers. A start waits until the progress that
+ * tells of it is stored. */
+template<typename Term>
+class OrderSender
+{
+public:
+  explicit OrderSender(Term& aTerm)
+    : term(&aTerm)
+  {
+  }
+
+  void SendStops(const std::vector<StopOrder>& aStops)
+  {
+    for (const StopOrder& stop : aStops) {
+      this->term->Spawn([this, stop] { return this->SendStop(stop); });
+    }
+  }
+
+  void Stage(std::vector<StartOrder> aStarts)
+  {
+    std::move(aStarts.begin(), aStarts.end(), std::back_inserter(this->staged));
+  }
+
+  void SendStored()
+  {
+    std::vector<StartOrder> waiting;
+    for (StartOrder& start : this->staged) {
+      const JobBook* job = this->term->Book().FindJob(start.Task().Job());
+      if (job != nullptr && !job->Final() &&
+          job->StoredVersion() < start.JobVersion()) {
+        waiting.push_back(std::move(start));
+        continue;
+      }
+      this->term->Spawn([this, start] { return this->SendStart(start); });
+    }
+    this->staged = std::move(waiting);
+  }
+
+private:
+  boost::asio::awaitable<void> SendStart(StartOrder aStart)
+  {
+    const auto until = this->term->Book().StartUntil(aStart, Clock::now());
+    if (!until || !this->term->IsActive()) {
+      this->term->Book().StartRefused(aStart);
+      co_return;
+    }
+    const WorkerListing listing =
+      this->term->Book().FindWorker(aStart.Worker())->Listing();
+    const std::string payload =
+      this->term->Book().FindJob(aStart.Task().Job())->Job().Plan().Payload();
+    Reason reason;
+    const OrderOutcome outcome = co_await this->term->Workers().Start(
+      listing, aStart, payload, *until, this->term->Number(), reason);
+    if (!this->term->IsActive()) {
+      co_return;
+    }
+    LogStart(aStart, this->term->Number(), outcome, reason);
+    this->TakeInStart(aStart, outcome, reason);
+    if (outcome != OrderOutcome::kDone) {
+      this->term->Kick();
+    }
+  }
+
+  void TakeInStart(const StartOrder& aStart,
+                   OrderOutcome aOutcome,
+                   const Reason& aReason)
+  {
+    switch (aOutcome) {
+      case OrderOutcome::kDone:
+        this->term->Metrics().Count(DomainMetrics::Event::kStart);
+        this->term->Book().StartAnswered(aStart, Clock::now());
+        break;
+      case OrderOutcome::kWorkerOver:
+        this->term->CheckOver(aStart.Worker(), aOutcome);
+        [[fallthrough]];
+      case OrderOutcome::kRefused:
+        this->term->Metrics().Count(DomainMetrics::Event::kStartRefused);
+        this->term->Book().StartRefused(aStart);
+        break;
+      case OrderOutcome::kNotKnown:
+        this->term->Metrics().Count(DomainMetrics::Event::kStartUnanswered);
+        this->term->Book().StartUnanswered(aStart, Clock::now());
+        break;
+      case OrderOutcome::kFenced:
+        this->term->Deposed("start", aReason);
+        break;
+    }
+  }
+
+  boost::asio::awaitable<void> SendStop(StopOrder aStop)
+  {
+    const WorkerBook* worker = this->term->Book().FindWorker(aStop.Worker());
+    if (worker == nullptr || !this->term->IsActive()) {
+      co_return;
+    }
+    const WorkerListing listing = worker->Listing();
+    Reason reason;
+    const OrderOutcome outcome = co_await this->term->Workers().Stop(
+      listing, aStop, this->term->Number(), reason);
+    if (!this->term->IsActive()) {
+      co_return;
+    }
+    LogStop(aStop, this->term->Number(), outcome, reason);
+    this->term->CheckOver(aStop.Worker(), outcome);
+    if (outcome == OrderOutcome::kFenced) {
+      this->term->Deposed("stop", reason);
+    } else if (outcome == OrderOutcome::kDone) {
+      this->term->Metrics().Count(DomainMetrics::Event::kStop);
+      this->term->Book().StopAnswered(aStop, Clock::now());
+    }
+  }
+
+  Term* term;
+  std::vector<StartOrder> staged;
+};
+
+}
--- /dev/null
+++ b/scheduling/progress_writer.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/reason.h"
+#include "links/row_store.h"
+#include "scheduling/domain_metrics.h"
+#include "scheduling/event_line.h"
+#include "scheduling/order_sender.h"
+#include "scheduling/progress_batch.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace sardinecourse {
+
+/** Stores the progress of a term's jobs as it changes, and then has the starts
+ * sent that waited for it. */
+template<typename Term>
+class ProgressWriter
+{
+public:
+  ProgressWriter(Term& aTerm, OrderSender<Term>& aSender)
+    : term(&aTerm)
+    , sender(&aSender)
+    , changed(aTerm.Context())
+  {
+  }
+
+  /** Lets the loop see what changed. */
+  void Wake() { this->changed.cancel(); }
+
+  boost::asio::awaitable<void> Run()
+  {
+    while (this->term->IsActive()) {
+      const ProgressBatch batch =
+        ProgressBatch::Take(this->term->Book(), this->term->Revision());
+      if (batch.Empty()) {
+        this->sender->SendStored();
+        co_await this->AwaitChange();
+        continue;
+      }
+      Reason reason;
+      const TableTransaction transaction = batch.Transaction();
+      const CommitAnswer answer =
+        co_await this->term->Rows().Commit(transaction, reason);
+      if (!this->term->IsActive()) {
+        co_return;
+      }
+      if (!batch.Settle(answer, this->term->Book(), Clock::now())) {
+        this->term->Deposed("store", reason);
+        co_return;
+      }
+      this->sender->SendStored();
+      const bool isFailed = answer.Outcome() == WriteOutcome::kNotWritten ||
+                            answer.Outcome() == WriteOutcome::kNotKnown;
+      if (isFailed) {
+        this->term->Metrics().Count(DomainMetrics::Event::kStoreFailed);
+        EventLine("progress_not_stored")
+          .Field("term", this->term->Number())
+          .Field(reason)
+          .Emit();
+        co_await this->term->PauseFor(Term::kRetryPause);
+      }
+    }
+  }
+
+private:
+  /** Without a change the loop looks again after this time. */
+  static constexpr Milliseconds kLongestWait{ 100 };
+
+  boost::asio::awaitable<void> AwaitChange()
+  {
+    boost::system::error_code ignored;
+    this->changed.expires_after(kLongestWait);
+    co_await this->changed.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+
+  Term* term;
+  OrderSender<Term>* sender;
+  boost::asio::steady_timer changed;
+};
+
+}
