Make the weights of a pass a value of the settings

Cause: headroom, patience and waste were constants of domain_pass.cpp, so two policies could not be compared on the same jobs. Change: DomainPolicy, read from policy: of a host's settings, is given to each DomainPass; YamlReader reads numbers. Conclusion: the defaults are the former constants; scheduling, zones and codecs tests pass, no decision changes.

--- a/codecs/domain_host_yaml.cpp
+++ b/codecs/domain_host_yaml.cpp
@@ -1,5 +1,6 @@
 #include "codecs/domain_host_yaml.h"
 
+#include "codecs/domain_policy_yaml.h"
 #include "codecs/host_settings_yaml.h"
 #include "codecs/yaml_document.h"
 #include "codecs/yaml_reader.h"
@@ -7,7 +8,6 @@
 #include "contracts/domain_timing_builder.h"
 #include "core/reason.h"
 
-#include <charconv>
 #include <yaml-cpp/yaml.h>
 
 namespace sardinecourse {
@@ -17,6 +17,9 @@
 constexpr const char* kStoreKey = "store";
 constexpr std::int64_t kMostThreads = 256;
 constexpr std::int64_t kDefaultThreads = 1;
+constexpr double kWholeCore = 1.0;
+constexpr double kLeastShareOfCore = 0.001;
+constexpr double kMostCores = 1024.0;
 /** A bound above an hour is taken for a mistake in the unit. */
 constexpr std::int64_t kMostMs = 3'600'000;
 
@@ -26,19 +29,6 @@
   return Milliseconds(aReader.Integer(aKey, aDefault.count(), 1, kMostMs));
 }
 
-double
-ReadShareOfCore(YamlReader& aReader)
-{
-  const std::string text = aReader.Text("core_share", "1.0");
-  double share = 0.0;
-  const auto [end, error] =
-    std::from_chars(text.data(), text.data() + text.size(), share);
-  if (error != std::errc() || share <= 0.0) {
-    aReader.Fail("core_share", "must be a positive number");
-  }
-  return share;
-}
-
 std::optional<DomainTiming>
 ReadTiming(YamlReader& aReader, Reason& aReason)
 {
@@ -86,13 +76,18 @@
   host.Store(reader.Address(kStoreKey));
   host.Threads(static_cast<std::int32_t>(
     reader.Integer("threads", kDefaultThreads, 1, kMostThreads)));
-  host.ShareOfCore(ReadShareOfCore(reader));
+  host.ShareOfCore(
+    reader.Number("core_share", kWholeCore, kLeastShareOfCore, kMostCores));
   host.LogLevel(ReadLogLevel(reader));
   const std::optional<DomainTiming> timing = ReadTiming(reader, aReason);
-  if (!reader.Finish(aReason) || !timing) {
+  std::optional<DomainPolicy> policy = DomainPolicy();
+  reader.Section("policy", [&policy, &aReason](YamlReader& aPolicy) {
+    policy = ReadDomainPolicy(aPolicy, aReason);
+  });
+  if (!reader.Finish(aReason) || !timing || !policy) {
     return std::nullopt;
   }
-  return host.Timing(*timing).Build(aReason);
+  return host.Timing(*timing).Policy(*policy).Build(aReason);
 }
 
 }
--- /dev/null
+++ b/codecs/domain_policy_yaml.cpp
@@ -0,0 +1,33 @@
+#include "codecs/domain_policy_yaml.h"
+
+#include "codecs/yaml_reader.h"
+#include "contracts/domain_policy_builder.h"
+
+namespace sardinecourse {
+
+namespace {
+
+/** Work of more than this many times its own is never lost for a job. */
+constexpr double kMostWaste = 100.0;
+
+}
+
+std::optional<DomainPolicy>
+ReadDomainPolicy(YamlReader& aReader, Reason& aReason)
+{
+  const auto share = [&aReader](const char* aKey, double aDefault) {
+    return aReader.Number(aKey, aDefault, 0.0, 1.0);
+  };
+  const DomainPolicy defaults;
+  return DomainPolicyBuilder()
+    .BatchHeadroom(share("batch_headroom", defaults.BatchHeadroom()))
+    .Headroom(share("headroom", defaults.Headroom()))
+    .MostWaste(
+      aReader.Number("most_waste", defaults.MostWaste(), 0.0, kMostWaste))
+    .NearPatience(share("near_patience", defaults.NearPatience()))
+    .UrgentNearPatience(
+      share("urgent_near_patience", defaults.UrgentNearPatience()))
+    .Build(aReason);
+}
+
+}
--- a/codecs/yaml_reader.cpp
+++ b/codecs/yaml_reader.cpp
@@ -1,6 +1,7 @@
 #include "codecs/yaml_reader.h"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 #include <yaml-cpp/yaml.h>
 
@@ -106,6 +107,31 @@
   return number;
 }
 
+double
+YamlReader::Number(const std::string& aKey,
+                   double aDefault,
+                   double aLeast,
+                   double aMost)
+{
+  const YAML::Node value = this->Take(aKey);
+  if (!value.IsDefined()) {
+    return aDefault;
+  }
+  double number = 0.0;
+  if (!value.IsScalar() || !YAML::convert<double>::decode(value, number)) {
+    this->Fail(aKey, "must be a number");
+    return aDefault;
+  }
+  // Written so that a value that is no number at all is out of range as well.
+  if (!(number >= aLeast && number <= aMost)) {
+    std::ostringstream text;
+    text << "must be from " << aLeast << " to " << aMost;
+    this->Fail(aKey, text.str());
+    return aDefault;
+  }
+  return number;
+}
+
 Endpoint
 YamlReader::Address(const std::string& aKey)
 {
--- a/codecs/yaml_reader.h
+++ b/codecs/yaml_reader.h
@@ -41,6 +41,10 @@
                        std::int64_t aDefault,
                        std::int64_t aLeast,
                        std::int64_t aMost);
+  double Number(const std::string& aKey,
+                double aDefault,
+                double aLeast,
+                double aMost);
   Endpoint Address(const std::string& aKey);
   std::vector<Endpoint> Addresses(const std::string& aKey);
 
--- a/contracts/domain_host.h
+++ b/contracts/domain_host.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/domain_policy.h"
 #include "contracts/domain_timing.h"
 #include "core/endpoint.h"
 #include "core/names.h"
@@ -31,6 +32,7 @@
   /** A log4cplus level. */
   const std::string& LogLevel() const { return this->logLevel; }
   const DomainTiming& Timing() const { return this->timing; }
+  const DomainPolicy& Policy() const { return this->policy; }
 
   auto operator<=>(const DomainHost&) const = default;
 
@@ -47,6 +49,7 @@
   double shareOfCore = 1.0;
   std::string logLevel = "INFO";
   DomainTiming timing;
+  DomainPolicy policy;
 };
 
 }
--- a/contracts/domain_host_builder.cpp
+++ b/contracts/domain_host_builder.cpp
@@ -69,6 +69,13 @@
   return *this;
 }
 
+DomainHostBuilder&
+DomainHostBuilder::Policy(DomainPolicy aPolicy)
+{
+  this->value.policy = aPolicy;
+  return *this;
+}
+
 DomainHostBuilder&
 DomainHostBuilder::Timing(DomainTiming aTiming)
 {
--- a/contracts/domain_host_builder.h
+++ b/contracts/domain_host_builder.h
@@ -23,6 +23,7 @@
   DomainHostBuilder& ShareOfCore(double aShareOfCore);
   DomainHostBuilder& LogLevel(std::string aLogLevel);
   DomainHostBuilder& Timing(DomainTiming aTiming);
+  DomainHostBuilder& Policy(DomainPolicy aPolicy);
   std::optional<DomainHost> Build(Reason& aReason) const;
 
 private:
--- /dev/null
+++ b/contracts/domain_policy.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <compare>
+
+namespace sardinecourse {
+
+/** Weights by which a DomainPass serves some work before other work. Shares are
+ * between 0 and 1; docs/MEASUREMENTS.md has the measurements of the defaults.
+ */
+class DomainPolicy
+{
+public:
+  /** Share of the accelerators that batch work leaves to urgent jobs. */
+  double BatchHeadroom() const { return this->batchHeadroom; }
+  /** The same for work that is neither urgent nor batch. */
+  double Headroom() const { return this->headroom; }
+  /** An urgent job that is not due yet has work stopped up to this share of its
+   * own, both in core-seconds. */
+  double MostWaste() const { return this->mostWaste; }
+  /** Share of the slack of a job's objective that it may spend on waiting for
+   * the rack that it prefers. */
+  double NearPatience() const { return this->nearPatience; }
+  /** The same of the reclaim time, for urgent jobs. */
+  double UrgentNearPatience() const { return this->urgentNearPatience; }
+
+  auto operator<=>(const DomainPolicy&) const = default;
+
+private:
+  friend class DomainPolicyBuilder;
+
+  double batchHeadroom = 0.25;
+  double headroom = 0.1;
+  double mostWaste = 1.0;
+  double nearPatience = 0.5;
+  double urgentNearPatience = 0.5;
+};
+
+}
--- a/daemon/domain_daemon.cpp
+++ b/daemon/domain_daemon.cpp
@@ -177,6 +177,7 @@
                                           this->store,
                                           this->workers,
                                           this->host.Timing(),
+                                          this->host.Policy(),
                                           aTerm,
                                           aTermRevision,
                                           surroundings);
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/domain_policy.h"
 #include "contracts/service_catalog.h"
 #include "core/reason.h"
 #include "core/wall_time.h"
@@ -39,6 +40,7 @@
                Store& aStore,
                Orders& aOrders,
                DomainTiming aTiming,
+               DomainPolicy aPolicy,
                std::int64_t aTerm,
                std::int64_t aTermRevision,
                Surroundings aSurroundings)
@@ -49,6 +51,7 @@
            aTerm,
            aTermRevision,
            std::move(aSurroundings))
+    , policy(aPolicy)
     , looks(*this)
     , feeds(*this, this->looks)
     , sender(*this)
@@ -116,7 +119,8 @@
 
   void Pass()
   {
-    DomainPass pass(this->Book(), this->held, Clock::now(), WallNow());
+    DomainPass pass(
+      this->Book(), this->held, Clock::now(), WallNow(), this->policy);
     DomainOrders decided = pass.Run();
     this->NoteDecisions(decided);
     this->sender.SendStops(decided.stops);
@@ -138,6 +142,7 @@
     }
   }
 
+  DomainPolicy policy;
   HeldRoom held;
   WorkerLooks<Term> looks;
   DomainFeeds<Term, Words> feeds;
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -120,16 +120,22 @@
     CPPUNIT_ASSERT(IsDomainHost(kHost));
     CPPUNIT_ASSERT(!IsDomainHost("name: a\n"));
     const auto host = DecodeDomainHost(
-      kHost + "core_share: 0.25\ntiming: {worker_lease_ms: 10000}\n",
+      kHost + "core_share: 0.25\ntiming: {worker_lease_ms: 10000}\n"
+              "policy: {headroom: 0.15}\n",
       "f",
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, host->ShareOfCore(), 0.0);
     CPPUNIT_ASSERT(Milliseconds(10000) == host->Timing().WorkerLease());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.15, host->Policy().Headroom(), 0.0);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      DomainPolicy().BatchHeadroom(), host->Policy().BatchHeadroom(), 0.0);
     for (const char* wrong : { "core_share: no\n",
                                "core_share: -1\n",
                                "threads: 0\n",
                                "unknown: 1\n",
+                               "policy: {headroom: 2}\n",
+                               "policy: {most_waste: .nan}\n",
                                "timing: {stop_ms: 0}\n" }) {
       CPPUNIT_ASSERT_MESSAGE(wrong,
                              !DecodeDomainHost(kHost + wrong, "f", reason));
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -25,9 +25,6 @@
 /** A timed occurrence is started so long after its due time by this host's
  * calendar, which may differ from the platform's. */
 constexpr Milliseconds kDueMargin{ 50 };
-/** Share of the slack of a job's objective that it may spend on waiting for the
- * rack that it prefers. */
-constexpr double kNearShare = 0.5;
 /** Time that a reclaim needs beyond the stops: orders, the look that lists the
  * ends, and the starts. */
 constexpr Milliseconds kReclaimOverhead{ 1300 };
@@ -36,9 +33,6 @@
 constexpr Milliseconds kReclaimRetry{ 200 };
 /** Room that is being freed is held for its unit for so long. */
 constexpr Milliseconds kHoldTime{ 2500 };
-/** A job that is not due yet has work stopped up to this share of its own, both
- * in core-seconds. */
-constexpr double kMostWasteShare = 1.0;
 /** A run is judged by its progress after so long. */
 constexpr double kLeastSeenSeconds = 0.8;
 /** Sound workers and tasks differ by less than this factor from the mean. */
@@ -51,10 +45,6 @@
 constexpr double kPercent = 100.0;
 /** Queues of this priority and lower ones are batch work. */
 constexpr std::int32_t kFirstBatchPriority = 2;
-/** Share of the accelerators that batch work leaves to urgent jobs. */
-constexpr double kBatchHeadroomShare = 0.25;
-/** The same for work that is neither urgent nor batch. */
-constexpr double kHeadroomShare = 0.1;
 /** Work that a checkpointing task loses at most when it is stopped. */
 constexpr double kCheckpointSeconds = 0.5;
 /** An accelerator weighs as much as so many cores in the cost of lost work. */
@@ -89,11 +79,13 @@
 DomainPass::DomainPass(DomainBook& aBook,
                        HeldRoom& aHeld,
                        Instant aNow,
-                       WallTime aWallTime)
+                       WallTime aWallTime,
+                       DomainPolicy aPolicy)
   : book(&aBook)
   , held(&aHeld)
   , now(aNow)
   , wallTime(aWallTime)
+  , policy(aPolicy)
   , view(aBook, aHeld, aNow)
 {
 }
@@ -354,8 +346,8 @@
     return kNoLimit;
   }
   const double share = aJob.Job().Priority() < kFirstBatchPriority
-                         ? kHeadroomShare
-                         : kBatchHeadroomShare;
+                         ? this->policy.Headroom()
+                         : this->policy.BatchHeadroom();
   const ServiceName& service = aJob.Job().Service();
   const std::int64_t free = this->view.FreeAccelerators(service);
   const std::int64_t whole = this->view.WholeAccelerators(service);
@@ -443,13 +435,16 @@
 {
   if (aJob.Job().Priority() == 0) {
     // A guaranteed job takes any rack before its time runs out.
-    return this->book->Timing().ReclaimTime() / 2;
+    const auto time =
+      static_cast<double>(this->book->Timing().ReclaimTime().count());
+    return Milliseconds(
+      static_cast<std::int64_t>(time * this->policy.UrgentNearPatience()));
   }
   const double slack = (aJob.Job().Stretch() - 1.0) *
                          static_cast<double>(aStep.Estimate().count()) +
                        static_cast<double>(aJob.Job().Allowance().count());
-  return Milliseconds(
-    static_cast<std::int64_t>(std::max(0.0, slack * kNearShare)));
+  return Milliseconds(static_cast<std::int64_t>(
+    std::max(0.0, slack * this->policy.NearPatience())));
 }
 
 bool
@@ -559,7 +554,7 @@
       continue;
     }
     const double waste = WasteOf(runs, *chosen);
-    if (!isDue && waste > kMostWasteShare * ownWork) {
+    if (!isDue && waste > this->policy.MostWaste() * ownWork) {
       continue;
     }
     for (const std::size_t position : *chosen) {
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/domain_policy.h"
 #include "core/instant.h"
 #include "core/wall_time.h"
 #include "zones/domain_orders.h"
@@ -32,7 +33,8 @@
   DomainPass(DomainBook& aBook,
              HeldRoom& aHeld,
              Instant aNow,
-             WallTime aWallTime);
+             WallTime aWallTime,
+             DomainPolicy aPolicy = DomainPolicy());
 
   DomainOrders Run();
 
@@ -75,6 +77,7 @@
   HeldRoom* held;
   Instant now;
   WallTime wallTime;
+  DomainPolicy policy;
   FreeView view;
   DomainOrders orders;
 };
