--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(EndsOfARestartedWorkerAreNotAcknowledgedByOldNumbers);
   CPPUNIT_TEST(AHolderThatStoodStillAcknowledgesNothingByOldNumbers);
   CPPUNIT_TEST(AFailureThatIsListedAgainIsOneAttempt);
+  CPPUNIT_TEST(AnEndThatNobodyHeardOfBeforeTheCrashIsRunAgain);
   CPPUNIT_TEST(ATaskOnAWorkerThatIsGoneRunsElsewhere);
   CPPUNIT_TEST(ATaskOfAnEndedLifeRunsElsewhereAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -327,6 +328,26 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, world.floor.Starts());
   }
 
+  /** The pattern: a worker ends a task behind a cut and crashes there, so that
+   * the end is gone with it. */
+  void AnEndThatNobodyHeardOfBeforeTheCrashIsRunAgain()
+  {
+    DomainWorld world(1, 1);
+    world.LookAtAll();
+    world.Submit(
+      MakeAdmitted("task", 1, { Valid(QuarterStep(1)) }), 100, false);
+    world.Pass({});
+    world.cutOff.insert("w0");
+    world.Advance(200);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         world.floor.workers.at("w0").Ends().size());
+    world.RestartWorker("w0");
+    CPPUNIT_ASSERT(world.Settle(20'000));
+    CPPUNIT_ASSERT(JobState::kFinished == world.StateOf("task"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, world.floor.Starts());
+    CPPUNIT_ASSERT(world.floor.Violations().empty());
+  }
+
   /** Found on the bench: looks that fail went on to extend the lease that the
    * worker may hold, so its tasks counted as running for ever. */
   void ATaskOnAWorkerThatIsGoneRunsElsewhere()
