--- /dev/null
+++ b/tests/model/model_figures.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sardinecourse {
+
+/** What came of the jobs of one kind. */
+struct KindFigures
+{
+  int owed = 0;
+  int inTime = 0;
+  int late = 0;
+  double creditOwed = 0.0;
+  double credit = 0.0;
+  /** Seconds until the first task was started, of jobs that were started. */
+  std::vector<double> waits;
+
+  double Share() const
+  {
+    return this->creditOwed == 0.0 ? 1.0 : this->credit / this->creditOwed;
+  }
+
+  bool operator==(const KindFigures&) const = default;
+};
+
+/** What one policy came to with the jobs of one seed. */
+struct ModelFigures
+{
+  std::map<std::string, KindFigures> kinds;
+  /** Credit earned and owed by the second of arrival. */
+  std::map<int, std::pair<double, double>> bySecond;
+  double thrownAwayCoreSeconds = 0.0;
+  /** Over time: free accelerators, and those on workers that are partly used.
+   */
+  double freeAcceleratorSeconds = 0.0;
+  double scatteredAcceleratorSeconds = 0.0;
+  int preempted = 0;
+  /** Units that ran to their end, and those away from data or rack. */
+  int done = 0;
+  int far = 0;
+  /** Part of the credit, weighed, less the price of thrown-away work. */
+  double worth = 0.0;
+
+  double Fragmentation() const
+  {
+    return this->freeAcceleratorSeconds == 0.0
+             ? 0.0
+             : this->scatteredAcceleratorSeconds / this->freeAcceleratorSeconds;
+  }
+
+  bool operator==(const ModelFigures&) const = default;
+};
+
+}
