Let a job wait for its rack for all its slack

Cause: the model showed wide gangs spread over racks after half the slack of their objective, where they take three times as long. Change: near_patience 1.0 in place of 0.5.

--- a/contracts/domain_policy.h
+++ b/contracts/domain_policy.h
@@ -31,7 +31,7 @@
   double batchHeadroom = 0.25;
   double headroom = 0.1;
   double mostWaste = 1.0;
-  double nearPatience = 0.5;
+  double nearPatience = 1.0;
   double urgentNearPatience = 0.5;
 };
 
