Let batch work leave more room, but only while it can wait

Change: 42% for three quarters of a batch job's slack, then a tenth as for other work (batch_headroom, batch_patience).

--- a/codecs/domain_policy_yaml.cpp
+++ b/codecs/domain_policy_yaml.cpp
@@ -21,6 +21,7 @@
   const DomainPolicy defaults;
   return DomainPolicyBuilder()
     .BatchHeadroom(share("batch_headroom", defaults.BatchHeadroom()))
+    .BatchPatience(share("batch_patience", defaults.BatchPatience()))
     .Headroom(share("headroom", defaults.Headroom()))
     .MostWaste(
       aReader.Number("most_waste", defaults.MostWaste(), 0.0, kMostWaste))
--- a/contracts/domain_policy.h
+++ b/contracts/domain_policy.h
@@ -10,8 +10,12 @@
 class DomainPolicy
 {
 public:
-  /** Share of the accelerators that batch work leaves to urgent jobs. */
+  /** Share of the accelerators that batch work leaves to urgent jobs while it
+   * can wait. */
   double BatchHeadroom() const { return this->batchHeadroom; }
+  /** Share of the slack of its objective for which batch work can wait; then it
+   * leaves no more than other work does. */
+  double BatchPatience() const { return this->batchPatience; }
   /** The same for work that is neither urgent nor batch. */
   double Headroom() const { return this->headroom; }
   /** An urgent job that is not due yet has work stopped up to this share of its
@@ -28,7 +32,8 @@
 private:
   friend class DomainPolicyBuilder;
 
-  double batchHeadroom = 0.25;
+  double batchHeadroom = 0.42;
+  double batchPatience = 0.75;
   double headroom = 0.1;
   double mostWaste = 1.0;
   double nearPatience = 1.0;
--- a/contracts/domain_policy_builder.cpp
+++ b/contracts/domain_policy_builder.cpp
@@ -11,6 +11,13 @@
   return *this;
 }
 
+DomainPolicyBuilder&
+DomainPolicyBuilder::BatchPatience(double aShare)
+{
+  this->value.batchPatience = aShare;
+  return *this;
+}
+
 DomainPolicyBuilder&
 DomainPolicyBuilder::Headroom(double aShare)
 {
@@ -43,6 +50,7 @@
 DomainPolicyBuilder::Build(Reason& aReason) const
 {
   for (const double share : { this->value.batchHeadroom,
+                              this->value.batchPatience,
                               this->value.headroom,
                               this->value.nearPatience,
                               this->value.urgentNearPatience }) {
--- a/contracts/domain_policy_builder.h
+++ b/contracts/domain_policy_builder.h
@@ -14,6 +14,7 @@
 {
 public:
   DomainPolicyBuilder& BatchHeadroom(double aShare);
+  DomainPolicyBuilder& BatchPatience(double aShare);
   DomainPolicyBuilder& Headroom(double aShare);
   DomainPolicyBuilder& MostWaste(double aShare);
   DomainPolicyBuilder& NearPatience(double aShare);
--- a/tests/load_patterns/policy_patterns_test.cpp
+++ b/tests/load_patterns/policy_patterns_test.cpp
@@ -55,6 +55,7 @@
 {
   CPPUNIT_TEST_SUITE(PolicyPatternsTest);
   CPPUNIT_TEST(ABurstOfUrgentGangsFindsTheHeadroom);
+  CPPUNIT_TEST(BatchJobsAreNotStarvedByTheHeadroom);
   CPPUNIT_TEST(WideGangsAreNotSpreadOverRacksTooSoon);
   CPPUNIT_TEST(UrgentGangsWaitForARackWithinTheirReclaimTime);
   CPPUNIT_TEST_SUITE_END();
@@ -67,6 +68,13 @@
     this->CheckBetter(without, 0);
   }
 
+  /** The pattern: urgent jobs keep a fleet so full that batch work never finds
+   * its headroom free. */
+  void BatchJobsAreNotStarvedByTheHeadroom()
+  {
+    this->CheckBetter(Valid(DomainPolicyBuilder().BatchPatience(1.0)), 2);
+  }
+
   void WideGangsAreNotSpreadOverRacksTooSoon()
   {
     this->CheckBetter(Valid(DomainPolicyBuilder().NearPatience(0.0)), 1);
--- a/tests/model/policy_experiment.cpp
+++ b/tests/model/policy_experiment.cpp
@@ -40,6 +40,7 @@
         const char* aPlotPath)
 {
   std::vector<std::future<std::vector<ModelFigures>>> plays;
+  plays.reserve(static_cast<std::size_t>(aSeeds));
   for (int seed = 0; seed < aSeeds; ++seed) {
     plays.push_back(
       std::async(std::launch::async, [&aSettings, number = aFirst + seed] {
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -336,6 +336,19 @@
   }
 }
 
+/** Batch work waits behind others until it may be late. */
+bool
+DomainPass::CanWait(const JobBook& aJob, const JobStep& aStep) const
+{
+  if (aJob.Job().Priority() < kFirstBatchPriority) {
+    return false;
+  }
+  const auto typical = this->book->RunTimes().Typical(aJob.Job().Queue());
+  return this->Waited(aJob) < PartOfSlack(aJob,
+                                          typical.value_or(aStep.Estimate()),
+                                          this->policy.BatchPatience());
+}
+
 /** Other work leaves some accelerators free, batch work more than the rest, so
  * that urgent jobs need not wait for them. */
 std::int32_t
@@ -345,9 +358,8 @@
   if (aJob.Job().Priority() == 0 || aStep.Need().Accelerators() == 0) {
     return kNoLimit;
   }
-  const double share = aJob.Job().Priority() < kFirstBatchPriority
-                         ? this->policy.Headroom()
-                         : this->policy.BatchHeadroom();
+  const double share = this->CanWait(aJob, aStep) ? this->policy.BatchHeadroom()
+                                                  : this->policy.Headroom();
   const ServiceName& service = aJob.Job().Service();
   const std::int64_t free = this->view.FreeAccelerators(service);
   const std::int64_t whole = this->view.WholeAccelerators(service);
@@ -440,11 +452,20 @@
     return Milliseconds(
       static_cast<std::int64_t>(time * this->policy.UrgentNearPatience()));
   }
-  const double slack = (aJob.Job().Stretch() - 1.0) *
-                         static_cast<double>(aStep.Estimate().count()) +
-                       static_cast<double>(aJob.Job().Allowance().count());
-  return Milliseconds(static_cast<std::int64_t>(
-    std::max(0.0, slack * this->policy.NearPatience())));
+  return this->PartOfSlack(aJob, aStep.Estimate(), this->policy.NearPatience());
+}
+
+/** Part of the time that a job may lose and still be in time, with tasks of
+ * that run time. */
+Milliseconds
+DomainPass::PartOfSlack(const JobBook& aJob,
+                        Milliseconds aRunTime,
+                        double aPart)
+{
+  const double slack =
+    (aJob.Job().Stretch() - 1.0) * static_cast<double>(aRunTime.count()) +
+    static_cast<double>(aJob.Job().Allowance().count());
+  return Milliseconds(static_cast<std::int64_t>(std::max(0.0, slack * aPart)));
 }
 
 bool
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -51,6 +51,10 @@
   void Serve(const WaitingGroup& aGroup);
   void ServeGang(JobBook& aJob, TaskUnit& aUnit, const UnitRef& aRef);
   void ServeTasks(JobBook& aJob, const WaitingGroup& aGroup);
+  bool CanWait(const JobBook& aJob, const JobStep& aStep) const;
+  static Milliseconds PartOfSlack(const JobBook& aJob,
+                                  Milliseconds aRunTime,
+                                  double aPart);
   std::int32_t MostBesideUrgent(const JobBook& aJob, const JobStep& aStep);
   void Start(JobBook& aJob,
              TaskUnit& aUnit,
