--- a/codecs/pending_json.cpp
+++ b/codecs/pending_json.cpp
@@ -2,6 +2,7 @@
 
 #include "codecs/json_fields.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace sardinecourse {
@@ -20,7 +21,9 @@
 DecodePending(const std::string& aText, const QueueName& aQueue)
 {
   const auto object = ParseJsonObject(aText);
-  return object ? IntegerField(*object, aQueue.Text().c_str()) : 0;
+  const std::int64_t count =
+    object ? IntegerField(*object, aQueue.Text().c_str()) : 0;
+  return std::max<std::int64_t>(count, 0);
 }
 
 }
--- a/codecs/pending_json.h
+++ b/codecs/pending_json.h
@@ -12,7 +12,8 @@
 std::string
 EncodePending(const std::map<QueueName, std::int64_t>& aPending);
 
-/** How many jobs of the queue wait; none when the text cannot be read. */
+/** How many jobs of the queue wait; none when the text cannot be read
+ * or says less than none. */
 std::int64_t
 DecodePending(const std::string& aText, const QueueName& aQueue);
 
