Split the pass over a domain: watch over runs, reclaim, and the order of service

Change: RunWatch gives up and notes, DomainReclaim has runs stopped, step_wish and work_size serve both; DomainPass serves.

--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -4,8 +4,8 @@
 #include "core/instant.h"
 #include "core/wall_time.h"
 #include "zones/domain_orders.h"
+#include "zones/domain_reclaim.h"
 #include "zones/free_view.h"
-#include "zones/place_wish.h"
 #include "zones/waiting_group.h"
 
 #include <map>
@@ -20,7 +20,6 @@
 class JobStep;
 class TaskUnit;
 struct MemberRun;
-struct PreemptibleRun;
 
 /**
  * One pass over a domain: gives up what has lapsed, stops what is not wanted,
@@ -39,9 +38,6 @@
   DomainOrders Run();
 
 private:
-  void DropLapsed();
-  void WatchProgress();
-  void WatchProgressOf(TaskUnit& aUnit, Milliseconds aTypical);
   void StopUnwanted();
   void StopMembers(JobBook& aJob, TaskUnit& aUnit);
   std::vector<WaitingGroup> Waiting() const;
@@ -62,20 +58,9 @@
   std::optional<std::vector<WorkerName>> PlaceGang(const JobBook& aJob,
                                                    const TaskUnit& aUnit,
                                                    const UnitRef& aRef);
-  PlaceWish WishFor(const JobStep& aStep,
-                    std::int32_t aCount,
-                    bool aIsNear) const;
   Milliseconds Waited(const JobBook& aJob) const;
   /** How long a job may wait for the rack it prefers. */
   Milliseconds NearPatience(const JobBook& aJob, const JobStep& aStep) const;
-  bool IsGuaranteed(const JobBook& aJob) const;
-  void Reclaim(const JobBook& aJob, TaskUnit& aUnit, const UnitRef& aRef);
-  /** Runs of less urgent jobs, and the units that they belong to. */
-  std::vector<PreemptibleRun> PreemptibleBy(const JobBook& aJob,
-                                            std::vector<UnitRef>& aUnits) const;
-  void Preempt(const UnitRef& aUnit, const UnitRef& aInFavourOf, double aWaste);
-  PreemptibleRun PreemptibleRunOf(const JobBook& aJob,
-                                  const TaskUnit& aUnit) const;
 
   DomainBook* book;
   HeldRoom* held;
@@ -83,6 +68,7 @@
   WallTime wallTime;
   DomainPolicy policy;
   FreeView view;
+  DomainReclaim reclaim;
   DomainOrders orders;
 };
 
--- /dev/null
+++ b/zones/domain_reclaim.cpp
@@ -0,0 +1,168 @@
+#include "zones/domain_reclaim.h"
+
+#include "zones/domain_book.h"
+#include "zones/free_view.h"
+#include "zones/held_room.h"
+#include "zones/place_search.h"
+#include "zones/preemptible_run.h"
+#include "zones/preemption_search.h"
+#include "zones/step_wish.h"
+#include "zones/work_size.h"
+
+#include <algorithm>
+
+namespace sardinecourse {
+
+namespace {
+
+/** Time that a reclaim needs beyond the stops: orders, the look that lists the
+ * ends, and the starts. */
+constexpr Milliseconds kReclaimOverhead{ 1300 };
+/** A search for runs to stop costs more than one for room, so a unit makes one
+ * this often. */
+constexpr Milliseconds kReclaimRetry{ 200 };
+/** Room that is being freed is held for its unit for so long. */
+constexpr Milliseconds kHoldTime{ 2500 };
+/** Work that a checkpointing task loses at most when it is stopped. */
+constexpr double kCheckpointSeconds = 0.5;
+constexpr double kPercent = 100.0;
+
+}
+
+DomainReclaim::DomainReclaim(DomainBook& aBook,
+                             HeldRoom& aHeld,
+                             FreeView& aView,
+                             Instant aNow,
+                             double aMostWaste)
+  : book(&aBook)
+  , held(&aHeld)
+  , view(&aView)
+  , now(aNow)
+  , mostWaste(aMostWaste)
+{
+}
+
+bool
+DomainReclaim::IsGuaranteed(const JobBook& aJob) const
+{
+  std::int64_t needed = 0;
+  for (const JobKey& key : this->book->Active()) {
+    const JobBook& job = *this->book->FindJob(key);
+    const bool counts = !job.Final() && job.Job().Priority() == 0 &&
+                        job.Job().Team() == aJob.Job().Team();
+    if (!counts) {
+      continue;
+    }
+    std::int64_t most = 0;
+    for (const JobStep& step : job.Job().Plan().Steps()) {
+      most = std::max(most, step.Need().Accelerators() * step.Count());
+    }
+    needed += most;
+  }
+  return needed <= this->book->GuaranteeOf(aJob.Job().Team());
+}
+
+std::vector<PreemptibleRun>
+DomainReclaim::PreemptibleBy(const JobBook& aJob,
+                             std::vector<UnitRef>& aUnits) const
+{
+  std::vector<PreemptibleRun> runs;
+  for (const JobKey& key : this->book->Active()) {
+    JobBook& job = *this->book->FindJob(key);
+    if (job.Job().Priority() <= aJob.Job().Priority()) {
+      continue;
+    }
+    for (std::size_t unit = 0; unit < job.Units().size(); ++unit) {
+      if (!job.Units()[unit].Idle()) {
+        runs.push_back(this->PreemptibleRunOf(job, job.Units()[unit]));
+        aUnits.push_back(UnitRef{ key, unit });
+      }
+    }
+  }
+  return runs;
+}
+
+void
+DomainReclaim::Preempt(const UnitRef& aUnit,
+                       const UnitRef& aInFavourOf,
+                       double aWaste)
+{
+  TaskUnit& unit = this->book->FindJob(aUnit.job)->Units()[aUnit.unit];
+  if (aWaste > 0.0) {
+    this->preempted.push_back(
+      PreemptedUnit{ aUnit, unit.Run(), aInFavourOf, aWaste });
+  }
+  unit.Abandon(StopCause::kPreempted);
+}
+
+PreemptibleRun
+DomainReclaim::PreemptibleRunOf(const JobBook& aJob,
+                                const TaskUnit& aUnit) const
+{
+  const JobStep& step = aJob.StepOf(aUnit);
+  double ran = Seconds(this->now - aUnit.Began());
+  if (aUnit.IsInherited()) {
+    // Its workers show how far it is.
+    ran = std::max(ran, aUnit.Percent() / kPercent * Seconds(step.Estimate()));
+  }
+  if (step.IsCheckpointing()) {
+    ran = std::min(kCheckpointSeconds, ran);
+  }
+  PreemptibleRun run;
+  const bool isEnding = aUnit.Abandoned() || aUnit.Done() || aJob.Final();
+  run.waste = isEnding ? 0.0 : ran * CoreEquivalents(step.Need()) *
+                           static_cast<double>(aUnit.Count());
+  for (const MemberRun& member : aUnit.Members()) {
+    if (member.phase != MemberPhase::kGone) {
+      run.room.emplace_back(member.worker, step.Need());
+    }
+  }
+  return run;
+}
+
+/** Only the most urgent jobs have others stopped: at once while little work is
+ * lost by it, and whatever is lost before a guaranteed one would be late. */
+void
+DomainReclaim::ReclaimFor(const JobBook& aJob,
+                          TaskUnit& aUnit,
+                          const UnitRef& aRef)
+{
+  const bool isTried =
+    aUnit.ReclaimTried() && this->now < *aUnit.ReclaimTried() + kReclaimRetry;
+  if (aJob.Job().Priority() != 0 || isTried || this->held->Holds(aRef)) {
+    return;
+  }
+  aUnit.NoteReclaimTried(this->now);
+  const Milliseconds latest = this->book->Timing().ReclaimTime() -
+                              this->book->Timing().StopTime() -
+                              kReclaimOverhead;
+  const Clock::duration waited = this->now - aJob.Seen();
+  const bool isDue = waited >= latest && this->IsGuaranteed(aJob);
+  const JobStep& step = aJob.StepOf(aUnit);
+  const double ownWork =
+    CoreEquivalentsOf(step, aUnit.Count()) * Seconds(step.Estimate());
+  std::vector<UnitRef> refs;
+  const std::vector<PreemptibleRun> runs = this->PreemptibleBy(aJob, refs);
+  const std::vector<FreeWorker> workers = this->view->For(aJob, aUnit, aRef);
+  for (const bool isNear : { true, false }) {
+    const PlaceWish wish = WishFor(step, aUnit.Count(), isNear);
+    const auto chosen = ChoosePreempted(workers, runs, wish);
+    if (!chosen) {
+      continue;
+    }
+    const double waste = WasteOf(runs, *chosen);
+    if (!isDue && waste > this->mostWaste * ownWork) {
+      continue;
+    }
+    for (const std::size_t position : *chosen) {
+      this->Preempt(refs[position], aRef, runs[position].waste);
+    }
+    const auto places = FindPlaces(WithoutRuns(workers, runs, *chosen), wish);
+    if (places) {
+      this->held->Hold(aRef, *places, step.Need(), this->now + kHoldTime);
+    }
+    return;
+  }
+}
+
+}
--- /dev/null
+++ b/zones/work_size.cpp
@@ -0,0 +1,35 @@
+#include "zones/work_size.h"
+
+#include "contracts/job_step.h"
+#include "machines/resources.h"
+
+namespace sardinecourse {
+
+namespace {
+
+/** An accelerator weighs as much as so many cores in the cost of lost work. */
+constexpr double kCoresPerAccelerator = 8.0;
+constexpr double kMilliCoresPerCore = 1000.0;
+
+}
+
+double
+CoreEquivalents(const Resources& aNeed)
+{
+  return static_cast<double>(aNeed.MilliCores()) / kMilliCoresPerCore +
+         kCoresPerAccelerator * static_cast<double>(aNeed.Accelerators());
+}
+
+double
+CoreEquivalentsOf(const JobStep& aStep, std::int32_t aTasks)
+{
+  return CoreEquivalents(aStep.Need()) * static_cast<double>(aTasks);
+}
+
+double
+Seconds(Clock::duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+}
