--- a/tests/model/fleet_model.cpp
+++ b/tests/model/fleet_model.cpp
@@ -9,6 +9,7 @@
 #include "tests/model/model_job.h"
 #include "tests/model/model_settings.h"
 #include "tests/scheduling/sample_jobs.h"
+#include "zones/work_size.h"
 
 #include <algorithm>
 #include <set>
@@ -19,8 +20,6 @@
 
 /** Members of a gang that do not come in this time are alone. */
 constexpr Milliseconds kAloneAfter{ 3000 };
-constexpr double kMilliCoresPerCore = 1000.0;
-constexpr double kCoresPerAccelerator = 8.0;
 constexpr double kMsPerSecond = 1000.0;
 constexpr double kPercent = 100.0;
 
@@ -192,11 +191,8 @@
 void
 FleetModel::NoteThrownAway(const UnitRun& aRun, bool aIsFinished)
 {
-  const Resources& need = aRun.step->Need();
-  const double cores =
-    (static_cast<double>(need.MilliCores()) / kMilliCoresPerCore +
-     kCoresPerAccelerator * static_cast<double>(need.Accelerators())) *
-    static_cast<double>(aRun.places.size());
+  const double cores = CoreEquivalentsOf(
+    *aRun.step, static_cast<std::int32_t>(aRun.places.size()));
   const double seconds = Ms(this->Now() - aRun.since) / kMsPerSecond;
   if (!aRun.isWhole) {
     this->thrownAway += cores * seconds;
--- a/tests/model/job_stream.cpp
+++ b/tests/model/job_stream.cpp
@@ -3,6 +3,7 @@
 #include "tests/model/model_job.h"
 #include "tests/model/model_settings.h"
 #include "tests/scheduling/sample_jobs.h"
+#include "zones/work_size.h"
 
 #include <algorithm>
 #include <cmath>
@@ -19,8 +20,6 @@
 constexpr double kValueBySize = 0.7;
 /** A step that is wider than this part of the room runs in waves. */
 constexpr double kWavePart = 0.25;
-constexpr double kMilliCoresPerCore = 1000.0;
-constexpr double kCoresPerAccelerator = 8.0;
 /** Cancels come within so long after the arrival. */
 constexpr double kLatestCancelMs = 8000.0;
 
@@ -222,10 +221,7 @@
     double sum = 0.0;
     const auto& steps = aJob.job.Plan().Steps();
     for (std::size_t step = 0; step < steps.size(); ++step) {
-      const Resources& need = steps[step].Need();
-      const double cores =
-        static_cast<double>(need.MilliCores()) / kMilliCoresPerCore +
-        kCoresPerAccelerator * static_cast<double>(need.Accelerators());
+      const double cores = CoreEquivalents(steps[step].Need());
       for (const Milliseconds work : aJob.work[step]) {
         sum += cores * static_cast<double>(work.count()) / kMsPerSecond;
       }
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -11,6 +11,17 @@
 /** By which a guaranteed job has begun; DomainTiming's default. */
 constexpr std::int64_t kReclaimMs = 3000;
 
+/** Lets batch work of so many tasks, each of a quarter of a worker, have what
+ * it may take. */
+void
+SubmitBatch(DomainWorld& aWorld, std::int32_t aTasks)
+{
+  aWorld.LookAtAll();
+  aWorld.Submit(
+    MakeAdmitted("batch", 2, { Valid(QuarterStep(aTasks)) }), kLongMs, false);
+  aWorld.Pass({});
+}
+
 }
 
 /** Patterns of load and of faults, each named for what it shows. */
@@ -110,10 +121,7 @@
   {
     DomainWorld world(2, 2);
     world.Book().SetGuarantees({ { TeamName("luthiers"), 16 } });
-    world.LookAtAll();
-    world.Submit(
-      MakeAdmitted("batch", 2, { Valid(QuarterStep(8)) }), kLongMs, false);
-    world.Pass({});
+    SubmitBatch(world, 8);
     world.Submit(
       MakeAdmitted("urgent", 0, { Valid(WholeWorkerGang(1)) }), 1000, false);
     CPPUNIT_ASSERT(BeginsWithin(world, "urgent", kReclaimMs));
@@ -125,10 +133,7 @@
   void BatchWorkLeavesRoomForUrgentJobs()
   {
     DomainWorld world(4, 2);
-    world.LookAtAll();
-    world.Submit(
-      MakeAdmitted("batch", 2, { Valid(QuarterStep(16)) }), kLongMs, false);
-    world.Pass({});
+    SubmitBatch(world, 16);
     // 42% of 32 accelerators are 13, so that 19 are left for tasks of two.
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 9 }, world.floor.Starts());
     world.Submit(
@@ -140,10 +145,7 @@
   void BatchWorkThatMayBeLateLeavesLessRoom()
   {
     DomainWorld world(4, 2);
-    world.LookAtAll();
-    world.Submit(
-      MakeAdmitted("batch", 2, { Valid(QuarterStep(16)) }), kLongMs, false);
-    world.Pass({});
+    SubmitBatch(world, 16);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 9 }, world.floor.Starts());
     // The slack of its objective is 3 s.
     for (int turn = 0; turn < 11; ++turn) {
