--- a/zones/domain_reclaim.cpp
+++ b/zones/domain_reclaim.cpp
@@ -110,7 +110,8 @@
   }
   PreemptibleRun run;
   const bool isEnding = aUnit.Abandoned() || aUnit.Done() || aJob.Final();
-  run.waste = isEnding ? 0.0 : ran * CoreEquivalents(step.Need()) *
+  run.waste = isEnding ? 0.0
+                       : ran * CoreEquivalents(step.Need()) *
                            static_cast<double>(aUnit.Count());
   for (const MemberRun& member : aUnit.Members()) {
     if (member.phase != MemberPhase::kGone) {
