--- a/misc/scripts/play_pairs.sh
+++ b/misc/scripts/play_pairs.sh
@@ -48,6 +48,8 @@
   'kind = "revoke", count = 2, gap_s = 0.5'
   'kind = "applied_late", x = 0.3, for_s = 5.0, how = "all"'
   'kind = "clock_step", share = 0.4, x = 2000.0, for_s = 5.0, how = "ahead"'
+  'kind = "cloud_down", for_s = 4.0, how = "silent"'
+  'kind = "cloud_slow", x = 50.0, for_s = 4.0'
 )
 planned='"(add_nodes|scale_out|scale_in|roll_term|config_change|revoke|hup)"'
 
