Call the percentile and the wait that the tests had already

Cause: experiment_table.cpp and logging_test.cpp wrote them again; domain_pass.h declared a type that it no longer names.

--- a/tests/daemon/logging_test.cpp
+++ b/tests/daemon/logging_test.cpp
@@ -1,13 +1,13 @@
 #include "daemon/logging.h"
 
 #include "core/instant.h"
+#include "tests/harness/wait.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <log4cplus/configurator.h>
 #include <log4cplus/initializer.h>
 #include <optional>
 #include <sys/wait.h>
-#include <thread>
 #include <unistd.h>
 
 namespace sardinecourse {
@@ -16,19 +16,17 @@
 
 /** A host that stops has this much of the platform's grace left. */
 constexpr Milliseconds kEndBound{ 2000 };
-constexpr Milliseconds kPoll{ 10 };
 
 /** Status of a child that ended in time. */
 std::optional<int>
 AwaitEnd(pid_t aChild)
 {
-  const Instant latest = Clock::now() + kEndBound;
-  while (Clock::now() < latest) {
-    int status = 0;
-    if (::waitpid(aChild, &status, WNOHANG) == aChild) {
-      return status;
-    }
-    std::this_thread::sleep_for(kPoll);
+  int status = 0;
+  const bool isOver = harness::WaitUntil(kEndBound, [aChild, &status] {
+    return ::waitpid(aChild, &status, WNOHANG) == aChild;
+  });
+  if (isOver) {
+    return status;
   }
   ::kill(aChild, SIGKILL);
   ::waitpid(aChild, nullptr, 0);
--- a/tests/model/experiment_table.cpp
+++ b/tests/model/experiment_table.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/model/model_figures.h"
 #include "tests/model/model_settings.h"
+#include "tests/policy/run_figures.h"
 
 #include <algorithm>
 #include <cmath>
@@ -28,10 +29,10 @@
 }
 
 double
-Percentile(const BySeed& aBySeed,
-           std::size_t aPolicy,
-           const std::string& aKind,
-           int aPercent)
+WaitPercentile(const BySeed& aBySeed,
+               std::size_t aPolicy,
+               const std::string& aKind,
+               int aPercent)
 {
   std::vector<double> waits;
   for (const auto& figures : aBySeed) {
@@ -41,12 +42,7 @@
         waits.end(), found->second.waits.begin(), found->second.waits.end());
     }
   }
-  if (waits.empty()) {
-    return 0.0;
-  }
-  std::ranges::sort(waits);
-  constexpr int kAll = 100;
-  return waits[(waits.size() - 1) * static_cast<std::size_t>(aPercent) / kAll];
+  return Percentile(std::move(waits), aPercent);
 }
 
 void
@@ -107,8 +103,8 @@
                         ? 1.0
                         : static_cast<double>(figures.inTime) / figures.owed;
              })
-          << ", " << Percentile(aBySeed, policy, kind.name, 50) << " / "
-          << Percentile(aBySeed, policy, kind.name, 95);
+          << ", " << WaitPercentile(aBySeed, policy, kind.name, 50) << " / "
+          << WaitPercentile(aBySeed, policy, kind.name, 95);
     }
     aTo << " | " << std::setprecision(0) << mean([](const ModelFigures& aRun) {
       return aRun.thrownAwayCoreSeconds;
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -19,7 +19,6 @@
 class JobBook;
 class JobStep;
 class TaskUnit;
-struct MemberRun;
 
 /**
  * One pass over a domain: gives up what has lapsed, stops what is not wanted,
