Renew the domain's lease on a thread of its own, and count capacity in preemption searches

Cause: renewals shared the control thread with passes, loads and polls. At 1,100 workers one preemption search built 1,100 candidate workers anew for every run that it considered (about 1 ms each, hundreds of times), so a pass blocked the thread for seconds, the lease of 2 s ran out, and each new holder lost it again while it loaded. A start is sent only while the lease has not expired by this host's clock, a stop and a pass only until the renewal grace ends; a deposition names its term. FreedCapacity counts what fits while runs are stopped and restored instead of searching places for each set, the search by worker recomputes only changed workers, FillSome takes the fullest workers from a heap, reservations are added up once a pass, and a pass waits twice the duration of the one before. Idle connections are found by endpoint. An exception in a loop of a term ends the term and not its loop alone.

--- a/daemon/domain_daemon.cpp
+++ b/daemon/domain_daemon.cpp
@@ -40,21 +40,22 @@
                        this->holder->Adopt(aCatalog);
                      }
                    })
-  , lease(
-      this->control,
-      this->store,
-      this->host.Name(),
-      std::move(aProcess),
-      this->host.Timing().HolderLease(),
-      this->host.ShareOfCore(),
-      Lease::Listener{ [this](std::int64_t aTerm, std::int64_t aTermRevision) {
-                        this->OnDomainGained(aTerm, aTermRevision);
-                      },
-                       [this] { this->OnDomainLost(); } })
   , metricsHandler(this->metrics)
   , metricsServer(this->control, this->metricsHandler)
   , readiness([this] { return this->IsReady(); })
   , readinessServer(this->control, this->readiness)
+  , lease(this->host,
+          std::move(aProcess),
+          LeaseThread::Loop::Listener{
+            [this](std::int64_t aTerm, std::int64_t aTermRevision) {
+              boost::asio::post(this->control, [this, aTerm, aTermRevision] {
+                this->OnDomainGained(aTerm, aTermRevision);
+              });
+            },
+            [this] {
+              boost::asio::post(this->control,
+                                [this] { this->OnDomainLost(); });
+            } })
 {
 }
 
@@ -77,9 +78,9 @@
   this->AwaitReload();
   boost::asio::co_spawn(
     this->control, this->catalogWatcher.Run(), boost::asio::detached);
-  boost::asio::co_spawn(
-    this->control, this->lease.Run(), boost::asio::detached);
+  this->lease.Start();
   this->control.run();
+  this->lease.Stop();
   for (const std::unique_ptr<CallerThread>& thread : this->servingThreads) {
     thread->Join();
   }
@@ -168,11 +169,11 @@
 void
 DomainDaemon::OnDomainGained(std::int64_t aTerm, std::int64_t aTermRevision)
 {
-  const Holder::Callbacks callbacks{ [this] {
-                                      return this->lease.ExclusiveUntil();
-                                    },
-                                     [this] { this->lease.Deposed(); },
-                                     &this->metrics };
+  const Holder::Callbacks callbacks{
+    [this] { return this->lease.ExclusiveUntil(); },
+    [this, aTerm] { this->lease.Deposed(aTerm); },
+    &this->metrics
+  };
   this->metrics.Count(DomainMetrics::Event::kTakeover);
   this->holder = std::make_shared<Holder>(this->control,
                                           this->store,
--- a/daemon/domain_daemon.h
+++ b/daemon/domain_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "contracts/domain_host_settings.h"
+#include "daemon/lease_thread.h"
 #include "daemon/metrics_handler.h"
 #include "links/http_server.h"
 #include "platform/readiness_handler.h"
@@ -11,7 +12,6 @@
 #include "scheduling/current_catalog.h"
 #include "scheduling/domain_holder.h"
 #include "scheduling/domain_metrics.h"
-#include "scheduling/lease_loop.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/executor_work_guard.hpp>
@@ -29,9 +29,9 @@
 
 /**
  * The daemon of one host of a scheduling domain: threads that serve the job
- * API, and one control thread, on which Run() is called. The control thread
- * keeps the service catalog current, competes for the domain's lease, and runs
- * the holder's loops while it holds the lease.
+ * API, a thread for the domain's lease, and one control thread, on which Run()
+ * is called. The control thread keeps the service catalog current and runs the
+ * holder's loops while this host holds the lease.
  */
 class DomainDaemon
 {
@@ -48,7 +48,6 @@
 private:
   using Holder =
     DomainHolder<platform::StoreLink, platform::WorkerCalls, platform::Schema>;
-  using Lease = LeaseLoop<platform::StoreLink>;
 
   bool StartServing(Reason& aReason);
   void AwaitStop();
@@ -68,7 +67,6 @@
   platform::WorkerCalls workers;
   CurrentCatalog catalog;
   CatalogWatcher<platform::StoreLink, platform::Schema> catalogWatcher;
-  Lease lease;
   std::shared_ptr<Holder> holder;
   DomainMetrics metrics;
   MetricsHandler metricsHandler;
@@ -76,6 +74,7 @@
   platform::ReadinessHandler readiness;
   HttpServer<platform::ReadinessHandler> readinessServer;
   std::vector<std::unique_ptr<CallerThread>> servingThreads;
+  LeaseThread lease;
   std::size_t endedThreads = 0;
   bool isDraining = false;
 };
--- a/links/http_client.cpp
+++ b/links/http_client.cpp
@@ -48,7 +48,7 @@
     co_return std::nullopt;
   }
   if (connection->Reusable()) {
-    this->idle.push_back(std::move(*connection));
+    this->idle[aEndpoint].push_back(std::move(*connection));
   }
   co_return answer;
 }
@@ -56,31 +56,29 @@
 void
 HttpClient::CloseIdle(const Endpoint& aEndpoint)
 {
-  std::erase_if(this->idle, [&aEndpoint](const HttpConnection& aConnection) {
-    return aConnection.Peer() == aEndpoint;
-  });
+  this->idle.erase(aEndpoint);
 }
 
 std::optional<HttpConnection>
 HttpClient::TakeIdle(const Endpoint& aEndpoint)
 {
-  while (true) {
-    const auto found =
-      std::find_if(this->idle.rbegin(),
-                   this->idle.rend(),
-                   [&aEndpoint](const HttpConnection& aConnection) {
-                     return aConnection.Peer() == aEndpoint;
-                   });
-    if (found == this->idle.rend()) {
-      return std::nullopt;
-    }
-    std::optional<HttpConnection> connection(std::move(*found));
-    this->idle.erase(std::next(found).base());
+  const auto found = this->idle.find(aEndpoint);
+  if (found == this->idle.end()) {
+    return std::nullopt;
+  }
+  std::vector<HttpConnection>& connections = found->second;
+  std::optional<HttpConnection> connection;
+  while (!connection && !connections.empty()) {
     // The other side may have closed the connection while it was idle.
-    if (connection->HasNoPendingInput()) {
-      return connection;
+    if (connections.back().HasNoPendingInput()) {
+      connection.emplace(std::move(connections.back()));
     }
+    connections.pop_back();
+  }
+  if (connections.empty()) {
+    this->idle.erase(found);
   }
+  return connection;
 }
 
 }
--- a/links/http_client.h
+++ b/links/http_client.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -48,7 +49,7 @@
   std::optional<HttpConnection> TakeIdle(const Endpoint& aEndpoint);
 
   boost::asio::io_context* context;
-  std::vector<HttpConnection> idle;
+  std::map<Endpoint, std::vector<HttpConnection>> idle;
 };
 
 }
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -123,6 +123,9 @@
 
   void Pass()
   {
+    if (this->IsExclusivityLost()) {
+      return;
+    }
     DomainPass pass(this->Domain(),
                     this->reservations,
                     Clock::now(),
--- a/scheduling/domain_term.h
+++ b/scheduling/domain_term.h
@@ -9,14 +9,16 @@
 #include "scheduling/pause.h"
 #include "zones/domain_state.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace sardinecourse {
@@ -77,6 +79,13 @@
   DomainMetrics& Metrics() { return *this->callbacks.metrics; }
   bool IsActive() const { return this->isActive; }
 
+  /** Whether another process may have taken over. Nothing is started then, even
+   * when this process was suspended and has only now continued. */
+  bool IsLeaseExpired() const
+  {
+    return Clock::now() >= this->callbacks.exclusiveUntil();
+  }
+
   /** Whether the lease and its grace time have passed, so that another process
    * may hold the domain. */
   bool IsExclusivityLost() const
@@ -85,7 +94,9 @@
            this->callbacks.exclusiveUntil() + DomainTiming::kRenewalGrace;
   }
 
-  /** Starts a loop as a coroutine; it must end soon after the term. */
+  /** Starts a loop as a coroutine; it must end soon after the term. An
+   * exception in it ends the term, so that the next one starts from what is
+   * stored. */
   template<typename Loop>
   void Spawn(Loop aLoop)
   {
@@ -93,7 +104,11 @@
       *this->context,
       [self = this->shared_from_this(),
        aLoop]() -> boost::asio::awaitable<void> { co_await aLoop(); },
-      boost::asio::detached);
+      [self = this->shared_from_this()](std::exception_ptr aError) {
+        if (aError && self->isActive) {
+          self->LoopFailed(aError);
+        }
+      });
   }
 
   boost::asio::awaitable<void> PauseFor(Milliseconds aTime)
@@ -107,18 +122,20 @@
     this->runPass = std::move(aRunPass);
   }
 
-  /** Schedules a pass after kPassDelay; requests until then share it. */
+  /** Schedules a pass after a short delay; requests until then share it. */
   void RequestPass()
   {
     if (!this->isActive || std::exchange(this->isPassDue, true)) {
       return;
     }
-    this->passTimer.expires_after(kPassDelay);
+    this->passTimer.expires_after(this->PassDelay());
     this->passTimer.async_wait(
       [self = this->shared_from_this()](const boost::system::error_code&) {
         if (self->isActive) {
           self->isPassDue = false;
+          const Instant startedAt = Clock::now();
           self->runPass();
+          self->lastPassDuration = Clock::now() - startedAt;
         }
       });
   }
@@ -162,9 +179,37 @@
   }
 
 private:
-  /** Delay between the request and the pass, which batches events that arrive
-   * together. */
-  static constexpr Milliseconds kPassDelay{ 4 };
+  /** Minimum delay between the request and the pass, which batches events that
+   * arrive together. */
+  static constexpr Milliseconds kMinPassDelay{ 4 };
+  /** Maximum delay, so that starts do not wait much longer than a pass takes.
+   */
+  static constexpr Milliseconds kMaxPassDelay{ 200 };
+  /** Delay in durations of the previous pass. It leaves most of the thread's
+   * time to the answers of workers and to the store. */
+  static constexpr int kPassDelayFactor = 2;
+
+  void LoopFailed(const std::exception_ptr& aError)
+  {
+    std::string message = "unknown exception";
+    try {
+      std::rethrow_exception(aError);
+    } catch (const std::exception& error) {
+      message = error.what();
+    } catch (...) {
+    }
+    this->Deposed("exception",
+                  Reason(Step::kPlacement, "", std::move(message)));
+  }
+
+  Milliseconds PassDelay() const
+  {
+    return std::clamp(
+      std::chrono::duration_cast<Milliseconds>(this->lastPassDuration) *
+        kPassDelayFactor,
+      kMinPassDelay,
+      kMaxPassDelay);
+  }
 
   boost::asio::io_context* context;
   Store* store;
@@ -177,6 +222,7 @@
   std::function<void()> runPass;
   bool isActive = true;
   bool isPassDue = false;
+  Clock::duration lastPassDuration{ 0 };
 };
 
 }
--- a/scheduling/lease_loop.h
+++ b/scheduling/lease_loop.h
@@ -10,6 +10,7 @@
 #include "zones/domain_lease.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -22,13 +23,15 @@
 /**
  * Watches the row that names the holder of the scheduling domain, takes the
  * domain over once the holder's lease has expired, and renews the lease while
- * this process is the holder.
+ * this process is the holder. All calls but ExclusiveUntil() are made on the
+ * thread of aContext.
  */
 template<RowStore Store>
 class LeaseLoop
 {
 public:
-  /** Callbacks for the gain and the loss of the domain by this process. */
+  /** Callbacks for the gain and the loss of the domain by this process, on the
+   * loop's thread. */
   struct Listener
   {
     /** Called after a takeover; aTermRevision is that of the term's row. */
@@ -72,15 +75,18 @@
     }
   }
 
-  /** Time until which no other process may take over. */
-  Instant ExclusiveUntil() const { return this->lease.ExclusiveUntil(); }
-  bool IsHolder() const { return this->isHolder; }
+  /** Time until which no other process may take over; for any thread. */
+  Instant ExclusiveUntil() const
+  {
+    return this->exclusiveUntil.load(std::memory_order_acquire);
+  }
 
-  /** Gives up the domain after a worker or the store showed a higher term,
-   * which means that another process is the holder. */
-  void Deposed()
+  /** Gives up the domain after a worker or the store showed a higher term than
+   * aTerm, which means that another process is the holder. Ignored when aTerm
+   * is not the current term any more. */
+  void Deposed(std::int64_t aTerm)
   {
-    if (this->isHolder) {
+    if (this->isHolder && this->lease.Row()->Term() == aTerm) {
       this->Lose("fenced");
     }
   }
@@ -113,12 +119,19 @@
         EventLine("domain_release_failed").Field(reason).Emit();
         co_return;
       }
-      this->lease =
-        this->lease.RowObserved(owner, current->Revision(), Clock::now());
+      this->SetLease(
+        this->lease.RowObserved(owner, current->Revision(), Clock::now()));
     }
   }
 
 private:
+  void SetLease(DomainLease aLease)
+  {
+    this->lease = std::move(aLease);
+    this->exclusiveUntil.store(this->lease.ExclusiveUntil(),
+                               std::memory_order_release);
+  }
+
   /** Renewals per length of the lease; more than one, so that the lease
    * survives a lost renewal. */
   static constexpr int kRenewalsPerLease = 4;
@@ -159,7 +172,7 @@
       co_return; // Lost while the renewal was in flight.
     }
     if (answer.Outcome() == WriteOutcome::kCommitted) {
-      this->lease = this->lease.RowWritten(*row, answer.Revision(), sent);
+      this->SetLease(this->lease.RowWritten(*row, answer.Revision(), sent));
       co_await Pause(*this->context, this->length / kRenewalsPerLease);
       co_return;
     }
@@ -188,11 +201,11 @@
     if (owner && this->lease.IsSameHolder(*owner)) {
       // The time of that write is not known, so it does not extend the lease;
       // the next renewal does.
-      this->lease = this->lease.RowObserved(owner, current->Revision(), now);
+      this->SetLease(this->lease.RowObserved(owner, current->Revision(), now));
       return;
     }
-    this->lease = this->lease.RowObserved(
-      owner, current == nullptr ? 0 : current->Revision(), now);
+    this->SetLease(this->lease.RowObserved(
+      owner, current == nullptr ? 0 : current->Revision(), now));
     this->Lose("taken over");
   }
 
@@ -217,17 +230,19 @@
       co_return;
     }
     if (std::exchange(this->isStoreLost, false)) {
-      this->lease = this->lease.StoreRegained(Clock::now());
+      this->SetLease(this->lease.StoreRegained(Clock::now()));
     }
     if (page->IsHistoryLost()) {
       co_return;
     }
     const TableRow* row = this->OwnerRow(page->Rows());
     if (row != nullptr) {
-      this->lease = this->lease.RowObserved(
-        DecodeDomainOwner(row->Value(), reason), row->Revision(), Clock::now());
+      this->SetLease(
+        this->lease.RowObserved(DecodeDomainOwner(row->Value(), reason),
+                                row->Revision(),
+                                Clock::now()));
     } else if (this->feed.IsFullRange()) {
-      this->lease = this->lease.RowObserved(std::nullopt, 0, Clock::now());
+      this->SetLease(this->lease.RowObserved(std::nullopt, 0, Clock::now()));
     }
     if (!this->isStopping && Clock::now() >= this->TakeoverTime()) {
       co_await this->TakeOver();
@@ -272,7 +287,7 @@
       .Field(reason)
       .Emit();
     if (isCommitted) {
-      this->lease = this->lease.RowWritten(*row, answer.Revision(), sent);
+      this->SetLease(this->lease.RowWritten(*row, answer.Revision(), sent));
       this->isHolder = true;
       this->listener.gained(row->Term(), answer.Revision());
       co_return;
@@ -306,6 +321,7 @@
   Milliseconds length;
   Milliseconds takeoverDelay{ 0 };
   DomainLease lease;
+  std::atomic<Instant> exclusiveUntil{ Instant() };
   RowFeed<Store> feed;
   Listener listener;
   bool isHolder = false;
--- a/scheduling/order_sender.h
+++ b/scheduling/order_sender.h
@@ -10,6 +10,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <iterator>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -60,9 +61,12 @@
 private:
   boost::asio::awaitable<void> SendStart(StartOrder aStart)
   {
+    const bool isAllowed =
+      this->term->IsActive() && !this->term->IsLeaseExpired();
     const auto deadlineMs =
-      this->term->Domain().StartDeadlineMs(aStart, Clock::now());
-    if (!deadlineMs || !this->term->IsActive()) {
+      isAllowed ? this->term->Domain().StartDeadlineMs(aStart, Clock::now())
+                : std::nullopt;
+    if (!deadlineMs) {
       this->term->Domain().StartRefused(aStart);
       co_return;
     }
@@ -113,7 +117,9 @@
   {
     const TrackedWorker* worker =
       this->term->Domain().FindWorker(aStop.Worker());
-    if (worker == nullptr || !this->term->IsActive()) {
+    // A stop that is not sent is ordered again by a later pass.
+    if (worker == nullptr || !this->term->IsActive() ||
+        this->term->IsExclusivityLost()) {
       co_return;
     }
     const WorkerListing listing = worker->Listing();
--- a/tests/zones/preemption_search_test.cpp
+++ b/tests/zones/preemption_search_test.cpp
@@ -1,6 +1,7 @@
 #include "core/reason.h"
 #include "machines/resources_builder.h"
 #include "zones/candidate_worker_builder.h"
+#include "zones/freed_capacity.h"
 #include "zones/place_search.h"
 #include "zones/placement_request_builder.h"
 #include "zones/preemptible_run.h"
@@ -10,6 +11,7 @@
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
+#include <set>
 
 namespace sardinecourse {
 
@@ -137,6 +139,7 @@
   CPPUNIT_TEST(PreemptsAllRunsOfOneWorkerRatherThanCheapRunsOfMany);
   CPPUNIT_TEST(PreemptedGangOnTwoWorkersCountsOnce);
   CPPUNIT_TEST(ChosenPreemptionsMakeUnitFit);
+  CPPUNIT_TEST(FreedCapacityAgreesWithPlacement);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +206,36 @@
     });
     CPPUNIT_ASSERT(holds);
   }
+
+  /** The count that replaces a search for places for each set of runs must
+   * agree with that search, after runs are stopped and restored. */
+  void FreedCapacityAgreesWithPlacement()
+  {
+    const bool holds = rc::check([] {
+      const FullFleet fleet = DrawFleet();
+      const PlacementRequest request =
+        MakeRequest(*rc::gen::element<std::int64_t>(1, 2, 4, 8),
+                    *rc::gen::inRange(1, 6),
+                    *rc::gen::arbitrary<bool>());
+      FreedCapacity capacity(fleet.workers, fleet.runs, request);
+      std::set<std::size_t> stopped;
+      const int steps = *rc::gen::inRange(0, 30);
+      for (int step = 0; step < steps && !fleet.runs.empty(); ++step) {
+        const auto run = static_cast<std::size_t>(
+          *rc::gen::inRange(0, static_cast<int>(fleet.runs.size())));
+        if (stopped.insert(run).second) {
+          capacity.Stop(run);
+        } else {
+          capacity.Restore(run);
+          stopped.erase(run);
+        }
+        const std::vector<std::size_t> chosen(stopped.begin(), stopped.end());
+        RC_ASSERT(capacity.Fits() ==
+                  FitsWithout(fleet.workers, fleet.runs, chosen, request));
+      }
+    });
+    CPPUNIT_ASSERT(holds);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PreemptionSearchTest);
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -129,9 +129,9 @@
 }
 
 bool
-DomainPass::IsWaiting(const TrackedJob& aJob, const TaskUnit& aUnit) const
+DomainPass::IsDue(const TrackedJob& aJob, const TaskUnit& aUnit) const
 {
-  if (aUnit.Done() || !aUnit.Idle() || !aJob.AreDependenciesDone(aUnit)) {
+  if (!aJob.AreDependenciesDone(aUnit)) {
     return false;
   }
   const JobPlan& plan = aJob.Job().Plan();
@@ -159,20 +159,27 @@
                            std::vector<WaitingGroup>& aGroups) const
 {
   const TaskUnit* previous = nullptr;
+  bool isDue = false;
   for (std::size_t index = 0; index < aJob.Units().size(); ++index) {
     const TaskUnit& unit = aJob.Units()[index];
-    if (!this->IsWaiting(aJob, unit)) {
+    if (unit.Done() || !unit.Idle()) {
       continue;
     }
     const bool isSameStep = previous != nullptr &&
                             previous->Occurrence() == unit.Occurrence() &&
                             previous->Step() == unit.Step();
+    previous = &unit;
+    if (!isSameStep) {
+      isDue = this->IsDue(aJob, unit);
+    }
+    if (!isDue) {
+      continue;
+    }
     if (!isSameStep) {
       aGroups.push_back(
         WaitingGroup{ aJob.Job().Priority(), aJob.Job().Admitted(), {} });
     }
     aGroups.back().units.push_back(UnitRef{ aJob.Job().Key(), index });
-    previous = &unit;
   }
 }
 
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -42,7 +42,9 @@
   std::vector<WaitingGroup> WaitingGroups() const;
   void CollectWaiting(const TrackedJob& aJob,
                       std::vector<WaitingGroup>& aGroups) const;
-  bool IsWaiting(const TrackedJob& aJob, const TaskUnit& aUnit) const;
+  /** Whether the steps before the unit's step are done and its occurrence is
+   * due. The same for all units of a step's occurrence. */
+  bool IsDue(const TrackedJob& aJob, const TaskUnit& aUnit) const;
   void Serve(const WaitingGroup& aGroup);
   void ServeGang(TrackedJob& aJob, TaskUnit& aUnit, const UnitRef& aRef);
   void ServeTasks(TrackedJob& aJob, const WaitingGroup& aGroup);
--- a/zones/domain_reclaim.cpp
+++ b/zones/domain_reclaim.cpp
@@ -150,7 +150,7 @@
     CoreEquivalentsOf(step, aUnit.Count()) * Seconds(step.Estimate());
   std::vector<UnitRef> refs;
   const std::vector<PreemptibleRun> runs = this->PreemptibleBy(aJob, refs);
-  const std::vector<CandidateWorker> workers =
+  const std::vector<CandidateWorker>& workers =
     this->view->CandidatesFor(aJob, aUnit, aRef);
   for (const bool isLocal : { true, false }) {
     const PlacementRequest request =
--- a/zones/place_search.cpp
+++ b/zones/place_search.cpp
@@ -4,6 +4,7 @@
 #include "zones/placement_request.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <tuple>
 
@@ -39,18 +40,26 @@
 }
 
 std::vector<WorkerName>
-FillSome(Workers aWorkers, const PlacementRequest& aRequest)
+FillSome(const Workers& aWorkers, const PlacementRequest& aRequest)
 {
-  std::sort(aWorkers.begin(),
-            aWorkers.end(),
-            [](const CandidateWorker* aLeft, const CandidateWorker* aRight) {
-              return std::tuple(aLeft->Penalty(), Emptiness(*aLeft), aLeft) <
-                     std::tuple(aRight->Penalty(), Emptiness(*aRight), aRight);
-            });
-  std::vector<WorkerName> places;
+  using Rank = std::tuple<std::int32_t, double, const CandidateWorker*>;
+  std::vector<Rank> ranks;
+  ranks.reserve(aWorkers.size());
   for (const CandidateWorker* worker : aWorkers) {
+    ranks.emplace_back(worker->Penalty(), Emptiness(*worker), worker);
+  }
+  // Most requests fit on a few workers, so a heap saves sorting all of them.
+  std::make_heap(ranks.begin(), ranks.end(), std::greater<>());
+  std::vector<WorkerName> places;
+  while (!ranks.empty()) {
     const std::int32_t left =
       aRequest.Count() - static_cast<std::int32_t>(places.size());
+    if (left <= 0) {
+      break;
+    }
+    std::pop_heap(ranks.begin(), ranks.end(), std::greater<>());
+    const CandidateWorker* worker = std::get<2>(ranks.back());
+    ranks.pop_back();
     const std::int32_t here =
       std::min(left, TasksThatFit(*worker, aRequest.Need()));
     places.insert(places.end(), std::max(here, 0), worker->Name());
@@ -59,9 +68,16 @@
 }
 
 std::optional<std::vector<WorkerName>>
-Fill(Workers aWorkers, const PlacementRequest& aRequest)
+Fill(const Workers& aWorkers, const PlacementRequest& aRequest)
 {
-  std::vector<WorkerName> places = FillSome(std::move(aWorkers), aRequest);
+  std::int64_t fittingTasks = 0;
+  for (const CandidateWorker* worker : aWorkers) {
+    fittingTasks += TasksThatFit(*worker, aRequest.Need());
+  }
+  if (fittingTasks < aRequest.Count()) {
+    return std::nullopt;
+  }
+  std::vector<WorkerName> places = FillSome(aWorkers, aRequest);
   if (static_cast<std::int32_t>(places.size()) < aRequest.Count()) {
     return std::nullopt;
   }
@@ -118,9 +134,9 @@
 FindPlaces(const std::vector<CandidateWorker>& aWorkers,
            const PlacementRequest& aRequest)
 {
-  Workers fitting = FittingWorkers(aWorkers, aRequest);
+  const Workers fitting = FittingWorkers(aWorkers, aRequest);
   return aRequest.RequiresOneRack() ? FillOneRack(fitting, aRequest)
-                                    : Fill(std::move(fitting), aRequest);
+                                    : Fill(fitting, aRequest);
 }
 
 std::vector<WorkerName>
--- a/zones/placement_view.cpp
+++ b/zones/placement_view.cpp
@@ -46,10 +46,13 @@
   const auto [position, isNew] = this->pools.try_emplace(aService);
   Pool& pool = position->second;
   if (isNew) {
+    const std::map<WorkerName, Resources> reserved =
+      this->reservations->ReservedByWorker();
     for (const auto& [name, worker] : this->domain->Workers()) {
       if (worker.Listing().Service() == aService && this->MayTakeWork(worker)) {
-        pool.positions.emplace(name, pool.workers.size());
-        pool.workers.push_back(this->MakeCandidate(worker));
+        const auto found = reserved.find(name);
+        pool.workers.push_back(this->MakeCandidate(
+          worker, found == reserved.end() ? Resources() : found->second));
         const CandidateWorker& candidate = pool.workers.back();
         pool.freeAccelerators += candidate.Free().Accelerators();
         pool.totalAccelerators += candidate.Total().Accelerators();
@@ -68,15 +71,15 @@
 }
 
 CandidateWorker
-PlacementView::MakeCandidate(const TrackedWorker& aWorker) const
+PlacementView::MakeCandidate(const TrackedWorker& aWorker,
+                             const Resources& aReserved) const
 {
   const WorkerListing& listing = aWorker.Listing();
   Reason ignored; // Only the name is checked, and it is set.
   return CandidateWorkerBuilder()
     .Name(listing.Name())
     .Rack(listing.Rack())
-    .Free(aWorker.Free().Minus(
-      this->reservations->ReservedForOthers(listing.Name(), UnitRef())))
+    .Free(aWorker.Free().Minus(aReserved))
     .Total(listing.Capacity())
     .MaxTasks(kNoLimit)
     .Penalty(aWorker.Penalty(this->now))
@@ -140,12 +143,20 @@
                                 const WorkerName& aWorker)
 {
   Pool& pool = this->PoolOf(aService);
-  const auto position = pool.positions.find(aWorker);
-  if (position != pool.positions.end()) {
-    CandidateWorker& candidate = pool.workers[position->second];
-    pool.freeAccelerators -= candidate.Free().Accelerators();
-    candidate = this->MakeCandidate(this->domain->Workers().at(aWorker));
-    pool.freeAccelerators += candidate.Free().Accelerators();
+  // The workers are in the order of their names.
+  const auto position = std::lower_bound(
+    pool.workers.begin(),
+    pool.workers.end(),
+    aWorker,
+    [](const CandidateWorker& aCandidate, const WorkerName& aName) {
+      return aCandidate.Name() < aName;
+    });
+  if (position != pool.workers.end() && position->Name() == aWorker) {
+    pool.freeAccelerators -= position->Free().Accelerators();
+    *position = this->MakeCandidate(
+      this->domain->Workers().at(aWorker),
+      this->reservations->ReservedForOthers(aWorker, UnitRef()));
+    pool.freeAccelerators += position->Free().Accelerators();
   }
 }
 
--- a/zones/placement_view.h
+++ b/zones/placement_view.h
@@ -55,7 +55,6 @@
   struct Pool
   {
     std::vector<CandidateWorker> workers;
-    std::map<WorkerName, std::size_t> positions;
     std::vector<PlacementRequest> failed;
     std::int64_t freeAccelerators = 0;
     std::int64_t totalAccelerators = 0;
@@ -68,7 +67,8 @@
                       const TaskUnit& aUnit,
                       const UnitRef& aRef) const;
   bool MayTakeWork(const TrackedWorker& aWorker) const;
-  CandidateWorker MakeCandidate(const TrackedWorker& aWorker) const;
+  CandidateWorker MakeCandidate(const TrackedWorker& aWorker,
+                                const Resources& aReserved) const;
   CandidateWorker MakeCandidateFor(const CandidateWorker& aWorker,
                                    const TrackedJob& aJob,
                                    const TaskUnit& aUnit,
--- a/zones/preemption_reservations.cpp
+++ b/zones/preemption_reservations.cpp
@@ -24,6 +24,18 @@
   });
 }
 
+std::map<WorkerName, Resources>
+PreemptionReservations::ReservedByWorker() const
+{
+  std::map<WorkerName, Resources> reserved;
+  for (const auto& [unit, reservation] : this->reservations) {
+    for (const auto& [worker, resources] : reservation.resources) {
+      reserved[worker] = reserved[worker].Plus(resources);
+    }
+  }
+  return reserved;
+}
+
 Resources
 PreemptionReservations::ReservedForOthers(const WorkerName& aWorker,
                                           const UnitRef& aUnit) const
--- a/zones/preemption_reservations.h
+++ b/zones/preemption_reservations.h
@@ -24,6 +24,8 @@
   {
     return this->reservations.contains(aUnit);
   }
+  /** Resources reserved on each worker that has a reservation. */
+  std::map<WorkerName, Resources> ReservedByWorker() const;
   /** Resources reserved on a worker for units other than aUnit. */
   Resources ReservedForOthers(const WorkerName& aWorker,
                               const UnitRef& aUnit) const;
--- a/zones/preemption_search.cpp
+++ b/zones/preemption_search.cpp
@@ -3,12 +3,12 @@
 #include "core/reason.h"
 #include "zones/candidate_worker.h"
 #include "zones/candidate_worker_builder.h"
-#include "zones/place_search.h"
-#include "zones/placement_request.h"
+#include "zones/freed_capacity.h"
 #include "zones/preemptible_run.h"
 #include "zones/worker_preemption_search.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <numeric>
 
@@ -30,42 +30,6 @@
          static_cast<double>(std::max<std::int64_t>(accelerators, 1));
 }
 
-bool
-Fits(const std::vector<CandidateWorker>& aWorkers,
-     const std::vector<PreemptibleRun>& aRuns,
-     const std::vector<std::size_t>& aChosen,
-     const PlacementRequest& aRequest)
-{
-  return FindPlaces(WithoutRuns(aWorkers, aRuns, aChosen), aRequest)
-    .has_value();
-}
-
-/** Length of the shortest prefix of aOrder whose runs, once stopped, make the
- * request fit; found by binary search. */
-std::optional<std::size_t>
-ShortestPrefix(const std::vector<CandidateWorker>& aWorkers,
-               const std::vector<PreemptibleRun>& aRuns,
-               const std::vector<std::size_t>& aOrder,
-               const PlacementRequest& aRequest)
-{
-  if (!Fits(aWorkers, aRuns, aOrder, aRequest)) {
-    return std::nullopt;
-  }
-  std::size_t low = 0;
-  std::size_t high = aOrder.size();
-  while (low < high) {
-    const std::size_t middle = (low + high) / 2;
-    const std::vector<std::size_t> prefix(
-      aOrder.begin(), aOrder.begin() + static_cast<std::ptrdiff_t>(middle));
-    if (Fits(aWorkers, aRuns, prefix, aRequest)) {
-      high = middle;
-    } else {
-      low = middle + 1;
-    }
-  }
-  return low;
-}
-
 }
 
 std::vector<CandidateWorker>
@@ -99,6 +63,19 @@
 
 namespace {
 
+bool
+FitsWithout(const std::vector<CandidateWorker>& aWorkers,
+            const std::vector<PreemptibleRun>& aRuns,
+            const std::vector<std::size_t>& aChosen,
+            const PlacementRequest& aRequest)
+{
+  FreedCapacity capacity(aWorkers, aRuns, aRequest);
+  for (const std::size_t run : aChosen) {
+    capacity.Stop(run);
+  }
+  return capacity.Fits();
+}
+
 /** Stops runs of the whole fleet in ascending order of lost work for each
  * accelerator. */
 std::optional<std::vector<std::size_t>>
@@ -106,27 +83,39 @@
               const std::vector<PreemptibleRun>& aRuns,
               const PlacementRequest& aRequest)
 {
+  std::vector<double> lostWork;
+  std::transform(aRuns.begin(),
+                 aRuns.end(),
+                 std::back_inserter(lostWork),
+                 LostWorkPerAccelerator);
   std::vector<std::size_t> order(aRuns.size());
   std::iota(order.begin(), order.end(), 0);
   std::sort(order.begin(),
             order.end(),
-            [&aRuns](std::size_t aLeft, std::size_t aRight) {
-              return LostWorkPerAccelerator(aRuns[aLeft]) <
-                     LostWorkPerAccelerator(aRuns[aRight]);
+            [&lostWork](std::size_t aLeft, std::size_t aRight) {
+              return lostWork[aLeft] < lostWork[aRight];
             });
-  const auto length = ShortestPrefix(aWorkers, aRuns, order, aRequest);
-  if (!length) {
+  FreedCapacity capacity(aWorkers, aRuns, aRequest);
+  std::vector<std::size_t> chosen;
+  for (const std::size_t run : order) {
+    if (capacity.Fits()) {
+      break;
+    }
+    capacity.Stop(run);
+    chosen.push_back(run);
+  }
+  if (!capacity.Fits()) {
     return std::nullopt;
   }
-  std::vector<std::size_t> chosen(
-    order.begin(), order.begin() + static_cast<std::ptrdiff_t>(*length));
   // Keeps runs that need not be stopped after all, those with the most lost
   // work for each accelerator first.
   for (std::size_t count = chosen.size(); count > 0; --count) {
-    std::vector<std::size_t> fewer = chosen;
-    fewer.erase(fewer.begin() + static_cast<std::ptrdiff_t>(count - 1));
-    if (Fits(aWorkers, aRuns, fewer, aRequest)) {
-      chosen = std::move(fewer);
+    const auto run = chosen.begin() + static_cast<std::ptrdiff_t>(count - 1);
+    capacity.Restore(*run);
+    if (capacity.Fits()) {
+      chosen.erase(run);
+    } else {
+      capacity.Stop(*run);
     }
   }
   return chosen;
@@ -148,7 +137,7 @@
   auto byWorker = ChoosePreemptedByWorker(aWorkers, aRuns, aRequest);
   const bool isBetter =
     byWorker && LostWorkOf(aRuns, *byWorker) < LostWorkOf(aRuns, *chosen) &&
-    Fits(aWorkers, aRuns, *byWorker, aRequest);
+    FitsWithout(aWorkers, aRuns, *byWorker, aRequest);
   return isBetter ? std::move(byWorker) : std::move(chosen);
 }
 
--- a/zones/worker_preemption_search.cpp
+++ b/zones/worker_preemption_search.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace sardinecourse {
@@ -57,9 +58,25 @@
     this->workers.push_back(std::move(searched));
   }
 
+  /** Records that a run uses resources of a worker of this search. */
+  void AddRun(const WorkerName& aWorker,
+              std::size_t aRun,
+              const Resources& aResources)
+  {
+    auto& here = this->workers[this->positions.at(aWorker)].runs;
+    if (!here.empty() && here.back().first == aRun) {
+      here.back().second = here.back().second.Plus(aResources);
+    } else {
+      here.emplace_back(aRun, aResources);
+    }
+  }
+
   std::optional<std::vector<std::size_t>> Run()
   {
-    this->AssignRunsToWorkers();
+    this->SortRuns();
+    for (std::size_t index = 0; index < this->workers.size(); ++index) {
+      this->options.push_back(this->OptionFor(index));
+    }
     for (std::int32_t task = 0; task < this->request->Count(); ++task) {
       const std::optional<PreemptionOption> option = this->CheapestOption();
       if (!option) {
@@ -76,22 +93,8 @@
     return aFree.CountFitting(this->request->Need()) > 0;
   }
 
-  void AssignRunsToWorkers()
+  void SortRuns()
   {
-    for (std::size_t run = 0; run < this->runs->size(); ++run) {
-      for (const auto& [name, resources] : (*this->runs)[run].resources) {
-        const auto found = this->positions.find(name);
-        if (found == this->positions.end()) {
-          continue;
-        }
-        auto& here = this->workers[found->second].runs;
-        if (!here.empty() && here.back().first == run) {
-          here.back().second = here.back().second.Plus(resources);
-        } else {
-          here.emplace_back(run, resources);
-        }
-      }
-    }
     for (SearchedWorker& worker : this->workers) {
       std::sort(worker.runs.begin(),
                 worker.runs.end(),
@@ -104,14 +107,13 @@
 
   std::optional<PreemptionOption> CheapestOption() const
   {
-    std::optional<PreemptionOption> best;
-    for (std::size_t index = 0; index < this->workers.size(); ++index) {
-      std::optional<PreemptionOption> option = this->OptionFor(index);
-      if (option && (!best || *option < *best)) {
-        best = std::move(option);
-      }
-    }
-    return best;
+    const auto cheapest =
+      std::min_element(this->options.begin(),
+                       this->options.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft && (!aRight || *aLeft < *aRight);
+                       });
+    return cheapest == this->options.end() ? std::nullopt : *cheapest;
   }
 
   std::optional<PreemptionOption> OptionFor(std::size_t aIndex) const
@@ -159,8 +161,11 @@
     }
   }
 
+  /** Places one more task; the options of the workers that this changes are
+   * computed again. */
   void Apply(const PreemptionOption& aOption)
   {
+    std::set<std::size_t> changed{ aOption.worker };
     for (const std::size_t run : aOption.stopped) {
       this->chosen.insert(run);
       for (const auto& [name, resources] : (*this->runs)[run].resources) {
@@ -168,18 +173,24 @@
         if (found != this->positions.end()) {
           SearchedWorker& worker = this->workers[found->second];
           worker.free = worker.free.Plus(resources);
+          changed.insert(found->second);
         }
       }
     }
     SearchedWorker& target = this->workers[aOption.worker];
     target.free = target.free.Minus(this->request->Need());
     ++target.tasks;
+    for (const std::size_t worker : changed) {
+      this->options[worker] = this->OptionFor(worker);
+    }
   }
 
   const std::vector<PreemptibleRun>* runs;
   const PlacementRequest* request;
   std::vector<SearchedWorker> workers;
-  std::map<WorkerName, std::size_t> positions;
+  std::unordered_map<WorkerName, std::size_t> positions;
+  /** Cheapest option of each worker, by its position. */
+  std::vector<std::optional<PreemptionOption>> options;
   std::set<std::size_t> chosen;
 };
 
@@ -191,6 +202,7 @@
                         const PlacementRequest& aRequest)
 {
   std::map<RackName, WorkerPreemptionSearch> searches;
+  std::unordered_map<WorkerName, WorkerPreemptionSearch*> searchOf;
   for (const CandidateWorker& worker : aWorkers) {
     const bool isAllowed =
       aRequest.Rack().Empty() || worker.Rack() == aRequest.Rack();
@@ -198,7 +210,18 @@
       // Without a rack constraint, all workers are searched together.
       const RackName rack =
         aRequest.RequiresOneRack() ? worker.Rack() : RackName();
-      searches.try_emplace(rack, aRuns, aRequest).first->second.Add(worker);
+      WorkerPreemptionSearch& search =
+        searches.try_emplace(rack, aRuns, aRequest).first->second;
+      search.Add(worker);
+      searchOf.emplace(worker.Name(), &search);
+    }
+  }
+  for (std::size_t run = 0; run < aRuns.size(); ++run) {
+    for (const auto& [name, resources] : aRuns[run].resources) {
+      const auto found = searchOf.find(name);
+      if (found != searchOf.end()) {
+        found->second->AddRun(name, run, resources);
+      }
     }
   }
   std::optional<std::vector<std::size_t>> best;
