Keep the lease's row in a part of its own, order candidates by share, and avoid workers whose poll failed

All rows were in one part, whose transactions run one after the other: submits filled its queue, the renewals got 429, the lease ran out, and of the 147 hosts that tried, one with 0.12 of a core won, which needed 2.7 and 5.1 s to load. The share's delay was shorter than the store's answers, and no delay applied when no row had been observed yet. While workers restart, gangs were placed on workers whose poll had just failed and lost the work of all members. Change: the owner's row is in the table lease with a part of its own; a takeover writes it first and then the term, on which the holder's transactions depend, as not every store accepts transactions across parts. Terms stay above the stored one without an owner row. Hosts with half a core or more take over without an extra delay, others up to 0.8 s later; the first observation starts the wait; hosts below a quarter of a core pause half a lease after each observed renewal instead of being told of each. A worker gets no new tasks from a failed poll or an unanswered start until its next answer; its runs stay.

--- a/scheduling/event_line.cpp
+++ b/scheduling/event_line.cpp
@@ -32,7 +32,8 @@
 EventLine&
 EventLine::Field(const Reason& aReason)
 {
-  return this->Field("reason", aReason.Message());
+  // A call that succeeded leaves its reason empty.
+  return aReason == Reason() ? *this : this->Field("reason", aReason.Message());
 }
 
 void
--- a/scheduling/lease_loop.h
+++ b/scheduling/lease_loop.h
@@ -12,7 +12,10 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <charconv>
 #include <functional>
 #include <string>
 #include <utility>
@@ -34,7 +37,8 @@
    * loop's thread. */
   struct Listener
   {
-    /** Called after a takeover; aTermRevision is that of the term's row. */
+    /** Called after a takeover, once the term is stored; aTermRevision is the
+     * revision of the term's row. */
     std::function<void(std::int64_t aTerm, std::int64_t aTermRevision)> gained;
     std::function<void()> lost;
   };
@@ -50,17 +54,20 @@
     , store(&aStore)
     , length(aLength)
     , lease(aSelf, std::move(aProcess), aLength)
-    , feed(aStore, kDomainTable, kOwnerRow, AfterKey(kOwnerRow))
+    , feed(aStore, kLeaseTable, kOwnerRow, AfterKey(kOwnerRow))
     , listener(std::move(aListener))
   {
-    // The delay keeps hosts from trying at the same instant and lets the one
-    // with the largest share of a core try first, since the holder's work grows
+    // The delay keeps hosts from trying at the same instant and lets those
+    // with a large share of a core try first, since the holder's work grows
     // with the domain.
-    const double missingShare = 1.0 - std::clamp(aShareOfCore, 0.0, 1.0);
+    const double missingShare =
+      std::clamp(1.0 - aShareOfCore / kFullShare, 0.0, 1.0);
     this->takeoverDelay = Milliseconds(
       static_cast<std::int64_t>(missingShare * kMaxShareDelay.count()) +
       static_cast<std::int64_t>(std::hash<std::string>()(aSelf.Text()) %
                                 kMaxHostDelay.count()));
+    this->watchPause =
+      aShareOfCore < kSmallShare ? aLength / 2 : Milliseconds(0);
   }
 
   /** Watches and renews until Release() is called. */
@@ -104,8 +111,7 @@
       const std::optional<DomainOwner> row = this->lease.RenewalRow(true);
       const std::int64_t revision = this->lease.Revision();
       Reason reason;
-      const CommitAnswer answer =
-        co_await this->Write(*row, revision, {}, reason);
+      const CommitAnswer answer = co_await this->Write(*row, revision, reason);
       if (answer.Outcome() == WriteOutcome::kCommitted) {
         EventLine("domain_released").Field("term", row->Term()).Emit();
         co_return;
@@ -140,22 +146,25 @@
   static constexpr Milliseconds kMaxWait{ 1000 };
   /** Upper bound of the takeover delay that is derived from the host's name. */
   static constexpr Milliseconds kMaxHostDelay{ 40 };
-  /** Extra takeover delay of a host with almost no share of a core, compared to
-   * one with a whole core. Large enough that the shares in use differ by
-   * several times kMaxHostDelay. */
-  static constexpr Milliseconds kMaxShareDelay{ 400 };
+  /** Share of a core from which a host takes over without an extra delay. */
+  static constexpr double kFullShare = 0.5;
+  /** Extra takeover delay of a host with almost no share of a core. The shares
+   * in use differ by several times kMaxHostDelay. */
+  static constexpr Milliseconds kMaxShareDelay{ 800 };
+  /** Hosts with a smaller share of a core take over only when no larger one
+   * does, so they need not be told of each renewal at once. */
+  static constexpr double kSmallShare = 0.25;
 
-  boost::asio::awaitable<CommitAnswer> Write(
-    DomainOwner aRow,
-    std::int64_t aRevision,
-    std::vector<TableWrite> aOtherWrites,
-    Reason& aReason)
+  boost::asio::awaitable<CommitAnswer> Write(DomainOwner aRow,
+                                             std::int64_t aRevision,
+                                             Reason& aReason)
   {
     std::vector<TableCheck> checks;
-    AddCheck(checks, kDomainTable, kOwnerRow, aRevision);
-    AddWrite(aOtherWrites, kDomainTable, kOwnerRow, EncodeDomainOwner(aRow));
+    std::vector<TableWrite> writes;
+    AddCheck(checks, kLeaseTable, kOwnerRow, aRevision);
+    AddWrite(writes, kLeaseTable, kOwnerRow, EncodeDomainOwner(aRow));
     const TableTransaction transaction =
-      MakeTransaction(std::move(checks), std::move(aOtherWrites));
+      MakeTransaction(std::move(checks), std::move(writes));
     CommitAnswer answer = co_await this->store->Commit(transaction, aReason);
     co_return answer;
   }
@@ -166,8 +175,7 @@
     const Instant sent = Clock::now();
     const std::optional<DomainOwner> row = this->lease.RenewalRow(false);
     const std::int64_t revision = this->lease.Revision();
-    const CommitAnswer answer =
-      co_await this->Write(*row, revision, {}, reason);
+    const CommitAnswer answer = co_await this->Write(*row, revision, reason);
     if (!this->isHolder) {
       co_return; // Lost while the renewal was in flight.
     }
@@ -246,6 +254,8 @@
     }
     if (!this->isStopping && Clock::now() >= this->TakeoverTime()) {
       co_await this->TakeOver();
+    } else if (row != nullptr && this->watchPause.count() > 0) {
+      co_await Pause(*this->context, this->watchPause);
     }
   }
 
@@ -263,22 +273,100 @@
     return std::clamp(remaining, Milliseconds(1), Milliseconds(kMaxWait));
   }
 
+  /** Reads the row of the term; without one, the revision and the term are 0.
+   * False, with the reason, when it cannot be read. */
+  boost::asio::awaitable<bool> ReadTerm(std::int64_t& aTerm,
+                                        std::int64_t& aRevision,
+                                        Reason& aReason)
+  {
+    std::string table = kDomainTable;
+    std::string from = kTermRow;
+    std::string to = AfterKey(kTermRow);
+    const std::optional<RowPage> page = co_await this->store->Read(
+      std::move(table), std::move(from), std::move(to), aReason);
+    if (!page) {
+      co_return false;
+    }
+    aTerm = 0;
+    aRevision = 0;
+    if (!page->Rows().empty()) {
+      const TableRow& row = page->Rows().front();
+      std::from_chars(
+        row.Value().data(), row.Value().data() + row.Value().size(), aTerm);
+      aRevision = row.Revision();
+    }
+    co_return true;
+  }
+
+  /** Stores the term of a takeover, on which the holder's transactions depend,
+   * and then reports the gain. From then on a former holder can store nothing.
+   * Terms only rise: a write of an earlier term that arrives late finds another
+   * revision. */
+  boost::asio::awaitable<void> StoreTerm(std::int64_t aTerm)
+  {
+    while (this->isHolder && this->lease.Row()->Term() == aTerm) {
+      Reason reason;
+      std::int64_t stored = 0;
+      std::int64_t revision = 0;
+      bool isStored = false;
+      const bool isRead = co_await this->ReadTerm(stored, revision, reason);
+      if (isRead && stored < aTerm) {
+        std::vector<TableCheck> checks;
+        std::vector<TableWrite> writes;
+        AddCheck(checks, kDomainTable, kTermRow, revision);
+        AddWrite(writes, kDomainTable, kTermRow, std::to_string(aTerm));
+        const TableTransaction transaction =
+          MakeTransaction(std::move(checks), std::move(writes));
+        const CommitAnswer answer =
+          co_await this->store->Commit(transaction, reason);
+        isStored = answer.Outcome() == WriteOutcome::kCommitted;
+        revision = answer.Revision();
+      } else if (isRead) {
+        // An earlier attempt took effect although its answer was lost.
+        isStored = stored == aTerm;
+      }
+      const bool isCurrent =
+        this->isHolder && this->lease.Row()->Term() == aTerm;
+      if (isCurrent && isRead && stored > aTerm) {
+        this->Lose("fenced");
+        co_return;
+      }
+      if (isCurrent && isStored) {
+        this->listener.gained(aTerm, revision);
+        co_return;
+      }
+      EventLine("domain_term_not_stored")
+        .Field("term", aTerm)
+        .Field(reason)
+        .Emit();
+      co_await Pause(*this->context, kRetryPause);
+    }
+  }
+
   boost::asio::awaitable<void> TakeOver()
   {
-    const std::optional<DomainOwner> row = this->lease.TakeoverRow();
+    Reason reason;
+    std::int64_t lastTerm = 0;
+    std::int64_t termRevision = 0;
+    // Workers keep the highest term, so the next one must not be lower, also
+    // when the row of the holder is lost.
+    bool isTermKnown = this->lease.Row().has_value();
+    if (!isTermKnown) {
+      isTermKnown = co_await this->ReadTerm(lastTerm, termRevision, reason);
+    }
+    const std::optional<DomainOwner> row =
+      isTermKnown ? this->lease.TakeoverRow(lastTerm) : std::nullopt;
     if (!row) {
+      EventLine("domain_takeover_failed").Field(reason).Emit();
+      co_await Pause(*this->context, kRetryPause);
       co_return;
     }
     const std::string previous =
       this->lease.Row() ? this->lease.Row()->Host().Text() : "";
-    std::vector<TableWrite> term;
-    AddWrite(term, kDomainTable, kTermRow, std::to_string(row->Term()));
-    Reason reason;
     const Instant sent = Clock::now();
     const std::int64_t revision =
       std::max<std::int64_t>(this->lease.Revision(), 0);
-    const CommitAnswer answer =
-      co_await this->Write(*row, revision, std::move(term), reason);
+    const CommitAnswer answer = co_await this->Write(*row, revision, reason);
     const bool isCommitted = answer.Outcome() == WriteOutcome::kCommitted;
     EventLine("domain_takeover")
       .Field("term", row->Term())
@@ -289,7 +377,8 @@
     if (isCommitted) {
       this->SetLease(this->lease.RowWritten(*row, answer.Revision(), sent));
       this->isHolder = true;
-      this->listener.gained(row->Term(), answer.Revision());
+      boost::asio::co_spawn(
+        *this->context, this->StoreTerm(row->Term()), boost::asio::detached);
       co_return;
     }
     // Another process was first, or the outcome is not known. If the row names
@@ -320,6 +409,8 @@
   Store* store;
   Milliseconds length;
   Milliseconds takeoverDelay{ 0 };
+  /** Pause after each observed renewal. */
+  Milliseconds watchPause{ 0 };
   DomainLease lease;
   std::atomic<Instant> exclusiveUntil{ Instant() };
   RowFeed<Store> feed;
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/store_tables.h"
 #include "contracts/table_check.h"
 #include "contracts/table_write.h"
 #include "core/names.h"
@@ -24,7 +25,8 @@
  * transaction that writes this row, so that loading the domain takes time in
  * proportion to the live jobs. */
 inline const std::string kEndedTable = "ended";
-/** Owner of the domain, its term, and the number of pending jobs. */
+/** The term of the domain, and the number of pending jobs. The row that names
+ * its holder is in kLeaseTable. */
 inline const std::string kDomainTable = "domain";
 inline const std::string kOwnerRow = "owner";
 inline const std::string kTermRow = "term";
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -1,3 +1,4 @@
+#include "contracts/store_tables.h"
 #include "contracts/table_check_builder.h"
 #include "contracts/table_row_builder.h"
 #include "contracts/table_transaction_builder.h"
@@ -50,6 +51,7 @@
   CPPUNIT_TEST(InvalidJobBodyIsRefused);
   CPPUNIT_TEST(DecodesWorkerReport);
   CPPUNIT_TEST(EncodesTransaction);
+  CPPUNIT_TEST(LeaseHasAPartOfItsOwn);
   CPPUNIT_TEST(DecodesRowsAndRemovedKeys);
   CPPUNIT_TEST(UnreadableValueHidesNoOtherRow);
   CPPUNIT_TEST(RetryAfterIsRoundedUpToSeconds);
@@ -218,6 +220,29 @@
                          body["Remove"][0]["Table"].get<std::string>());
   }
 
+  /** The store executes the transactions of a part one after the other, and
+   * refuses them when too many wait. A slow store that is full of submits must
+   * still take renewals. */
+  void LeaseHasAPartOfItsOwn()
+  {
+    Reason reason;
+    const auto write = [&reason](const std::string& aTable) {
+      return *TableWriteBuilder().Table(aTable).Key("k").NewValue("v").Build(
+        reason);
+    };
+    const nlohmann::json renewal = nlohmann::json::parse(EncodeTransaction(
+      *TableTransactionBuilder().Writes({ write(kLeaseTable) }).Build(reason)));
+    CPPUNIT_ASSERT_EQUAL(std::string("lease"),
+                         renewal["SetKeys"][0]["part"].get<std::string>());
+    const auto page = DecodePage(
+      R"({"rows":[{"Table":"lease","part":"lease","Key":"k","Value":"bm9kZS0x",
+        "Ver":4},{"Table":"lease","part":"","Key":"k","Value":"bm9kZS0x",
+        "Ver":5}],"Ver":5})",
+      reason);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, page->Rows().size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 4 }, page->Rows()[0].Revision());
+  }
+
   void DecodesRowsAndRemovedKeys()
   {
     Reason reason;
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(StepWaitsForItsDependencies);
   CPPUNIT_TEST(MaxTasksPerWorkerIsRespected);
   CPPUNIT_TEST(LeavingWorkerGetsNoNewTasks);
+  CPPUNIT_TEST(WorkerWithFailedPollGetsNoNewTasks);
   CPPUNIT_TEST(RepeatedlyFailingWorkerIsUsedLast);
   CPPUNIT_TEST(TakeoverKeepsRunningTasks);
   CPPUNIT_TEST(HolderAfterTakeoverPreemptsYoungestRun);
@@ -230,6 +231,31 @@
                          world.site.workers.at("w1").Runs().size());
   }
 
+  /** While many workers restart, gangs that are placed on one of them lose the
+   * work of all their members. What runs on a silent worker stays. */
+  void WorkerWithFailedPollGetsNoNewTasks()
+  {
+    DomainWorld world(2, 2);
+    world.PollAll();
+    world.Submit(
+      MakeAdmitted("before", 0, { Valid(WholeWorkerGang(1)) }), 9000, false);
+    world.Pass({});
+    const std::string silent =
+      world.site.workers.at("w0").Runs().empty() ? "w0" : "w1";
+    const std::string busy = silent == "w0" ? "w1" : "w0";
+    world.Poll(silent, OrderFault::kLost);
+    world.Poll(busy, OrderFault::kLost);
+    world.Submit(
+      MakeAdmitted("after", 0, { Valid(WholeWorkerGang(1)) }), 1000, false);
+    world.Pass({});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, world.site.Starts());
+    world.Poll(silent, OrderFault::kAnswered);
+    world.Pass({});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, world.site.Starts());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
+                         world.site.workers.at(busy).Runs().size());
+  }
+
   void RepeatedlyFailingWorkerIsUsedLast()
   {
     DomainWorld world(2, 2);
--- /dev/null
+++ b/tests/scheduling/lease_loop_test.cpp
@@ -0,0 +1,154 @@
+#include "scheduling/lease_loop.h"
+
+#include "tests/scheduling/fake_row_store.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+
+namespace sardinecourse {
+
+namespace {
+
+constexpr Milliseconds kLease{ 400 };
+constexpr Milliseconds kMaxRun{ 5000 };
+constexpr Milliseconds kFeedWait{ 5 };
+
+/** A store whose feed waits before it answers, so that several hosts can follow
+ * it on one thread. */
+class WaitingRowStore : public FakeRowStore
+{
+public:
+  explicit WaitingRowStore(boost::asio::io_context& aContext)
+    : context(&aContext)
+  {
+  }
+
+  boost::asio::awaitable<std::optional<RowPage>> Changes(std::string aTable,
+                                                         std::int64_t aAfter,
+                                                         Milliseconds aWait,
+                                                         Reason& aReason)
+  {
+    co_await Pause(*this->context, std::min(aWait, kFeedWait));
+    auto page = co_await this->FakeRowStore::Changes(
+      std::move(aTable), aAfter, aWait, aReason);
+    co_return page;
+  }
+
+private:
+  boost::asio::io_context* context;
+};
+
+using Loop = LeaseLoop<WaitingRowStore>;
+
+}
+
+/** Which host takes a scheduling domain over, and with which term. */
+class LeaseLoopTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(LeaseLoopTest);
+  CPPUNIT_TEST(TakeoverWithoutOwnerRowKeepsTermsRising);
+  CPPUNIT_TEST(TermWithLostAnswerIsReportedOnce);
+  CPPUNIT_TEST(HostWithLargestShareTakesOver);
+  CPPUNIT_TEST(OneHostTakesOverFromLostHolder);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /** Without any row the feed would read again and again without a wait. */
+  void setUp() override { this->store.Put("op", "config", "{}"); }
+
+  /** Workers refuse a term lower than one that they have seen. */
+  void TakeoverWithoutOwnerRowKeepsTermsRising()
+  {
+    this->store.Put(kDomainTable, kTermRow, "7");
+    this->Add("a", 1.0);
+    this->RunUntilGains(1);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 8 }, this->lastTerm);
+    CPPUNIT_ASSERT_EQUAL(std::string("8"),
+                         this->store.Find(kDomainTable, kTermRow)->Value());
+  }
+
+  /** The first transaction names the holder, the second stores the term. */
+  void TermWithLostAnswerIsReportedOnce()
+  {
+    this->store.faults = { StoreFault::kNone, StoreFault::kLostApplied };
+    this->Add("a", 1.0);
+    this->RunUntilGains(1);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, this->lastTerm);
+    CPPUNIT_ASSERT_EQUAL(this->store.Find(kDomainTable, kTermRow)->Revision(),
+                         this->lastRevision);
+  }
+
+  void HostWithLargestShareTakesOver()
+  {
+    this->Add("small", 0.12);
+    this->Add("large", 0.5);
+    this->Add("middle", 0.25);
+    this->RunUntilGains(1);
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), this->lastHolder);
+  }
+
+  /** All other hosts see the holder's lease expire at the same time. */
+  void OneHostTakesOverFromLostHolder()
+  {
+    this->store.Put(kLeaseTable,
+                    kOwnerRow,
+                    R"({"host":"gone","process":"p0","term":3,"renewal":1,)"
+                    R"("released":false})");
+    for (const char* host : { "a", "b", "c", "d", "e", "f" }) {
+      this->Add(host, 0.12);
+    }
+    this->RunUntilGains(1);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 4 }, this->lastTerm);
+    this->context.restart();
+    this->context.run_for(2 * kLease);
+    CPPUNIT_ASSERT_EQUAL(1, this->gains);
+    CPPUNIT_ASSERT_EQUAL(0, this->losses);
+  }
+
+private:
+  void Add(const std::string& aHost, double aShare)
+  {
+    this->loops.push_back(std::make_unique<Loop>(
+      this->context,
+      this->store,
+      HostName(aHost),
+      "process of " + aHost,
+      kLease,
+      aShare,
+      Loop::Listener{
+        [this, aHost](std::int64_t aTerm, std::int64_t aRevision) {
+          ++this->gains;
+          this->lastTerm = aTerm;
+          this->lastRevision = aRevision;
+          this->lastHolder = aHost;
+        },
+        [this] { ++this->losses; } }));
+    boost::asio::co_spawn(
+      this->context, this->loops.back()->Run(), boost::asio::detached);
+  }
+
+  void RunUntilGains(int aGains)
+  {
+    const Instant until = Clock::now() + kMaxRun;
+    while (this->gains < aGains && Clock::now() < until) {
+      this->context.run_for(kFeedWait);
+    }
+    CPPUNIT_ASSERT_EQUAL(aGains, this->gains);
+  }
+
+  boost::asio::io_context context{ 1 };
+  WaitingRowStore store{ context };
+  std::vector<std::unique_ptr<Loop>> loops;
+  int gains = 0;
+  int losses = 0;
+  std::int64_t lastTerm = 0;
+  std::int64_t lastRevision = 0;
+  std::string lastHolder;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseLoopTest);
+
+}
--- a/zones/domain_lease.cpp
+++ b/zones/domain_lease.cpp
@@ -34,10 +34,11 @@
                          Instant aNow) const
 {
   DomainLease next = *this;
-  if (aRevision != this->revision ||
+  if (!this->isObserved || aRevision != this->revision ||
       aRow.has_value() != this->row.has_value()) {
     next.unchangedSince = aNow;
   }
+  next.isObserved = true;
   next.row = std::move(aRow);
   next.revision = aRevision;
   return next;
@@ -84,9 +85,10 @@
 }
 
 std::optional<DomainOwner>
-DomainLease::TakeoverRow() const
+DomainLease::TakeoverRow(std::int64_t aLastTerm) const
 {
-  const std::int64_t term = this->row ? this->row->Term() : 0;
+  const std::int64_t term =
+    std::max(this->row ? this->row->Term() : 0, aLastTerm);
   return this->MakeOwner(term + 1, 0, false);
 }
 
--- a/zones/domain_lease.h
+++ b/zones/domain_lease.h
@@ -43,8 +43,9 @@
   /** Time from which this process may take over if the row stays unchanged. */
   Instant TakeoverTime() const;
 
-  /** The row that a takeover writes, with the next term. */
-  std::optional<DomainOwner> TakeoverRow() const;
+  /** The row that a takeover writes, with the next term. aLastTerm is the last
+   * term known from elsewhere, 0 for none. */
+  std::optional<DomainOwner> TakeoverRow(std::int64_t aLastTerm = 0) const;
   /** The row that a renewal writes, or with aIsRelease the release of the
    * domain. For the holder only; empty before a row was observed. */
   std::optional<DomainOwner> RenewalRow(bool aIsRelease) const;
@@ -64,6 +65,8 @@
   Milliseconds length;
   std::optional<DomainOwner> row;
   std::int64_t revision = 0;
+  /** Whether the row, or that there is none, was ever observed. */
+  bool isObserved = false;
   /** When the current revision of the row was first observed. */
   Instant unchangedSince{};
   /** A time before the last committed write of this process was sent. */
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -433,6 +433,7 @@
   if (member != nullptr && member->phase == MemberPhase::kOrdered) {
     member->phase = MemberPhase::kUncertain;
     member->startResolvedAt = aNow;
+    this->PollFailed(aOrder.Worker());
     unit->Abandon(StopCause::kStartUnanswered);
   }
 }
--- a/zones/placement_view.cpp
+++ b/zones/placement_view.cpp
@@ -66,7 +66,7 @@
 PlacementView::MayTakeWork(const TrackedWorker& aWorker) const
 {
   return aWorker.Listed() && !aWorker.Listing().IsLeaving() &&
-         !aWorker.IsReplaced() && aWorker.HasAnswered() &&
+         !aWorker.IsReplaced() && aWorker.IsIncarnationConfirmed() &&
          this->now < aWorker.LastReport() + kMaxReportAge;
 }
 
