--- a/tests/scheduling/domain_term_test.cpp
+++ b/tests/scheduling/domain_term_test.cpp
@@ -97,6 +97,9 @@
   void OddWorkerEntriesAreSkipped()
   {
     const std::string good = "127.0.0.1:1";
+    const std::string hugeNumbers =
+      R"({"Service":"s","Addr":"127.0.0.1:1","State":"ready",)"
+      R"("Capacity":{"Cpu":-1,"MemMb":1e300,"Gpu":9223372036854775807}})";
     const std::vector<std::string> odd{
       WorkerEntry(good, R"(,"x":)" + Nested(100'000)),
       Nested(100'000),
@@ -105,8 +108,7 @@
       WorkerEntry("127.0.0.1:-1", ""),
       WorkerEntry("127.0.0.1:99999999999999999999", ""),
       R"({"Service":7,"Addr":[],"Zone":{},"State":"ready","Capacity":-1})",
-      R"({"Service":"s","Addr":"127.0.0.1:1","State":"ready",)"
-      R"("Capacity":{"Cpu":-1,"MemMb":1e300,"Gpu":9223372036854775807}})",
+      hugeNumbers,
       R"("text")",
       "17",
       "",
--- a/tests/scheduling/fake_row_store.h
+++ b/tests/scheduling/fake_row_store.h
@@ -55,10 +55,11 @@
         found.push_back(row);
       }
     }
-    co_return RowPageBuilder()
-      .Rows(std::move(found))
-      .Revision(this->revision)
-      .Build(aReason);
+    auto page = RowPageBuilder()
+                  .Rows(std::move(found))
+                  .Revision(this->revision)
+                  .Build(aReason);
+    co_return page;
   }
 
   boost::asio::awaitable<std::optional<RowPage>> Changes(std::string aTable,
@@ -76,10 +77,11 @@
         found.push_back(row);
       }
     }
-    co_return RowPageBuilder()
-      .Rows(std::move(found))
-      .Revision(this->revision)
-      .Build(aReason);
+    auto page = RowPageBuilder()
+                  .Rows(std::move(found))
+                  .Revision(this->revision)
+                  .Build(aReason);
+    co_return page;
   }
 
   boost::asio::awaitable<CommitAnswer> Commit(
