Withdraw the holder's exclusivity at once when it loses or releases the domain

Cause: the lease thread reports a loss to the holder's thread by a callback. While that thread is busy with a pass, the time until which it may start something stood unchanged, also after a planned release, when a successor can take over within milliseconds: around a hand-over both could have sent orders. Change: the time is in the past from the moment of the loss or release, on all threads, and only a holder has one.

--- a/scheduling/lease_loop.h
+++ b/scheduling/lease_loop.h
@@ -82,7 +82,8 @@
     }
   }
 
-  /** Time until which no other process may take over; for any thread. */
+  /** Time until which no other process may take over, the past when this
+   * process is not the holder; for any thread. */
   Instant ExclusiveUntil() const
   {
     return this->exclusiveUntil.load(std::memory_order_acquire);
@@ -134,7 +135,15 @@
   void SetLease(DomainLease aLease)
   {
     this->lease = std::move(aLease);
-    this->exclusiveUntil.store(this->lease.ExclusiveUntil(),
+    this->PublishExclusivity();
+  }
+
+  /** The holder's thread learns of a loss by a callback that it may run later,
+   * so the time is withdrawn at once. */
+  void PublishExclusivity()
+  {
+    this->exclusiveUntil.store(this->isHolder ? this->lease.ExclusiveUntil()
+                                              : Instant(),
                                std::memory_order_release);
   }
 
@@ -375,8 +384,8 @@
       .Field(reason)
       .Emit();
     if (isCommitted) {
-      this->SetLease(this->lease.RowWritten(*row, answer.Revision(), sent));
       this->isHolder = true;
+      this->SetLease(this->lease.RowWritten(*row, answer.Revision(), sent));
       boost::asio::co_spawn(
         *this->context, this->StoreTerm(row->Term()), boost::asio::detached);
       co_return;
@@ -395,6 +404,7 @@
       .Emit();
     this->feed.Restart();
     this->isHolder = false;
+    this->PublishExclusivity();
     this->listener.lost();
   }
 
--- a/tests/scheduling/lease_loop_test.cpp
+++ b/tests/scheduling/lease_loop_test.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(TermWithLostAnswerIsReportedOnce);
   CPPUNIT_TEST(HostWithLargestShareTakesOver);
   CPPUNIT_TEST(OneHostTakesOverFromLostHolder);
+  CPPUNIT_TEST(ReleaseEndsExclusivityBeforeTheHolderLearnsOfIt);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,6 +109,21 @@
     CPPUNIT_ASSERT_EQUAL(0, this->losses);
   }
 
+  /** A successor can take over as soon as the release is stored, while the
+   * thread of the former holder is still busy with a pass. */
+  void ReleaseEndsExclusivityBeforeTheHolderLearnsOfIt()
+  {
+    this->Add("a", 1.0);
+    this->RunUntilGains(1);
+    Loop& loop = *this->loops.back();
+    CPPUNIT_ASSERT(Clock::now() < loop.ExclusiveUntil());
+    boost::asio::co_spawn(this->context, loop.Release(), boost::asio::detached);
+    this->context.restart();
+    this->context.poll();
+    CPPUNIT_ASSERT_EQUAL(1, this->losses);
+    CPPUNIT_ASSERT(loop.ExclusiveUntil() < Clock::now());
+  }
+
 private:
   void Add(const std::string& aHost, double aShare)
   {
