--- a/review/stand_in/main.cpp
+++ b/review/stand_in/main.cpp
@@ -20,7 +20,7 @@
   using namespace review;
   using Case = Verdict (*)(Record&, bool);
   const std::map<std::string, Case> cases = {
-    { "failing-lasting-job", FailingLastingJob },
+    { "poison-job", PoisonJob },
     { "ended-lasting-task", EndedLastingTask },
     { "cancel-after-leaving", CancelAfterLeaving },
     { "refused-starts", RefusedStarts },
