--- a/review/stand_in/unlisted_ends.cpp
+++ b/review/stand_in/unlisted_ends.cpp
@@ -58,7 +58,7 @@
     Scenario::SleepUntil(aRecord, handedInMs + kIntervalMs);
   }
   Scenario::SleepUntil(aRecord, firstEndMs - kDownBeforeMs);
-  if (platform.Running() < static_cast<std::size_t>(kJobs * kTasks)) {
+  if (platform.Running() < kJobs * static_cast<std::size_t>(kTasks)) {
     scenario.Note("not all tasks are at work");
     return Verdict::kNotRun;
   }
