Divide a job's progress into rows and keep refused jobs apart

Cause: the row of a job's progress lists the worker of every started task and every failed run, and nothing bounds it. Past 65,536 bytes the store refuses the transaction (status 400), and the writer repeated it for good, with the progress of all other jobs in it; starts and acknowledgements wait for it.

Fix: progress is divided into as many rows as it needs, written in one transaction on condition of the first row's revision. What it lists is bounded: failed runs only where attempts are limited, checkpoints up to 1 KB, 4,000 open tasks of a job. A job that can never be stored is malformed at admission, and so is one whose own row the store refuses. A transaction that is refused for its contents is divided by job; a job refused alone is tried again every 5 s and delays no other. The stand-ins of the store refuse what the platform's store refuses.

--- a/contracts/commit_answer.h
+++ b/contracts/commit_answer.h
@@ -19,6 +19,9 @@
   std::int64_t Revision() const { return this->revision; }
   /** Current state of the checked rows; set only if a check failed. */
   const std::vector<TableRow>& Current() const { return this->current; }
+  /** True if the store refused the transaction for its contents, so that it
+   * refuses every repetition too. */
+  bool IsInvalid() const { return this->isInvalid; }
 
   auto operator<=>(const CommitAnswer&) const = default;
 
@@ -28,6 +31,7 @@
   WriteOutcome outcome = WriteOutcome::kNotKnown;
   std::int64_t revision = 0;
   std::vector<TableRow> current;
+  bool isInvalid = false;
 };
 
 }
--- a/contracts/commit_answer_builder.cpp
+++ b/contracts/commit_answer_builder.cpp
@@ -27,6 +27,13 @@
   return *this;
 }
 
+CommitAnswerBuilder&
+CommitAnswerBuilder::IsInvalid(bool aIsInvalid)
+{
+  this->value.isInvalid = aIsInvalid;
+  return *this;
+}
+
 std::optional<CommitAnswer>
 CommitAnswerBuilder::Build(Reason& aReason) const
 {
--- a/contracts/commit_answer_builder.h
+++ b/contracts/commit_answer_builder.h
@@ -16,6 +16,7 @@
   CommitAnswerBuilder& Outcome(WriteOutcome aOutcome);
   CommitAnswerBuilder& Revision(std::int64_t aRevision);
   CommitAnswerBuilder& Current(std::vector<TableRow> aCurrent);
+  CommitAnswerBuilder& IsInvalid(bool aIsInvalid);
   std::optional<CommitAnswer> Build(Reason& aReason) const;
 
 private:
--- a/contracts/job_progress.h
+++ b/contracts/job_progress.h
@@ -6,6 +6,7 @@
 #include "core/names.h"
 
 #include <compare>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
     return this->placements;
   }
 
+  /** Number of rows in which the progress is stored. Only the first row has
+   * this number, the state and the marks; each row has a share of the lists. */
+  std::int32_t Rows() const { return this->rows; }
+
   static constexpr char kNeverStarted = '.';
   static constexpr char kStarted = 's';
   static constexpr char kDone = 'D';
@@ -43,6 +48,7 @@
   std::string marks;
   std::vector<FailedRun> failedRuns;
   std::vector<UnitPlacement> placements;
+  std::int32_t rows = 1;
 };
 
 }
--- a/contracts/job_progress_builder.cpp
+++ b/contracts/job_progress_builder.cpp
@@ -41,9 +41,20 @@
   return *this;
 }
 
+JobProgressBuilder&
+JobProgressBuilder::Rows(std::int32_t aRows)
+{
+  this->value.rows = aRows;
+  return *this;
+}
+
 std::optional<JobProgress>
 JobProgressBuilder::Build(Reason& aReason) const
 {
+  if (this->value.rows < 1) {
+    aReason = Reason(Step::kDecode, "", "job progress needs at least one row");
+    return std::nullopt;
+  }
   if (this->value.queue.Empty()) {
     aReason = Reason(Step::kDecode, "", "job progress needs a queue");
     return std::nullopt;
--- a/contracts/job_progress_builder.h
+++ b/contracts/job_progress_builder.h
@@ -9,7 +9,7 @@
 class Reason;
 
 /** Builds a JobProgress. Build() returns nullopt and sets aReason if the queue
- * is missing. */
+ * is missing or the number of rows is not positive. */
 class JobProgressBuilder
 {
 public:
@@ -18,6 +18,7 @@
   JobProgressBuilder& Marks(std::string aMarks);
   JobProgressBuilder& FailedRuns(std::vector<FailedRun> aFailedRuns);
   JobProgressBuilder& Placements(std::vector<UnitPlacement> aPlacements);
+  JobProgressBuilder& Rows(std::int32_t aRows);
   std::optional<JobProgress> Build(Reason& aReason) const;
 
 private:
--- a/scheduling/archive_batch.cpp
+++ b/scheduling/archive_batch.cpp
@@ -3,6 +3,7 @@
 #include "codecs/job_progress_json.h"
 #include "contracts/commit_answer.h"
 #include "contracts/job_progress_builder.h"
+#include "contracts/progress_limits.h"
 #include "contracts/table_transaction.h"
 #include "core/reason.h"
 #include "scheduling/store_rows.h"
@@ -19,8 +20,15 @@
 {
   ArchiveBatch batch;
   batch.termRevision = aTermRevision;
-  for (const JobKey& key : aDomain.JobsToArchive(aNow, kMaxJobs)) {
+  std::size_t rows = 1; // The term's row.
+  for (const JobKey& key :
+       aDomain.JobsToArchive(aNow, kMaxTransactionRows / kRowsPerJob)) {
     const TrackedJob& job = aDomain.Jobs().at(key);
+    rows += kRowsPerJob + static_cast<std::size_t>(job.StoredRows() - 1);
+    if (rows > kMaxTransactionRows && !batch.Empty()) {
+      batch.isFull = true;
+      break;
+    }
     Reason ignored; // Only the queue is checked, and it is set.
     const JobProgress final = JobProgressBuilder()
                                 .Queue(job.Job().Queue())
@@ -29,6 +37,7 @@
                                 .value_or(JobProgress());
     Entry entry;
     entry.revision = job.Revision();
+    entry.progressRows = job.StoredRows();
     entry.isCancelled = job.State() == JobState::kCancelled;
     entry.value = EncodeJobProgress(final);
     batch.entries.emplace(key, std::move(entry));
@@ -45,6 +54,10 @@
   for (const auto& [key, entry] : this->entries) {
     AddCheck(checks, kProgressTable, key.Text(), entry.revision);
     AddWrite(writes, kProgressTable, key.Text(), std::nullopt);
+    for (std::int32_t row = 1; row < entry.progressRows; ++row) {
+      AddWrite(
+        writes, kProgressRowTable, ProgressRowKey(key, row), std::nullopt);
+    }
     AddWrite(writes, kJobTable, key.Text(), std::nullopt);
     if (entry.isCancelled) {
       AddWrite(writes, kJobTable, CancelRowKey(key), std::nullopt);
--- a/scheduling/archive_batch.h
+++ b/scheduling/archive_batch.h
@@ -25,7 +25,7 @@
 
   bool Empty() const { return this->entries.empty(); }
   /** Whether more ended jobs may be waiting. */
-  bool IsFull() const { return this->entries.size() >= kMaxJobs; }
+  bool IsFull() const { return this->isFull; }
   TableTransaction Transaction() const;
   /** Applies the outcome of the transaction to the domain state; false when it
    * shows that another process is the holder. After another conflict the next
@@ -35,20 +35,22 @@
                     Instant aNow) const;
 
 private:
-  /** The platform accepts 100 rows per transaction; each job adds one row to
-   * check and up to four to write. */
-  static constexpr std::size_t kMaxJobs = 19;
+  /** Rows that a job with one row of progress adds: one to check and up to four
+   * to write. */
+  static constexpr std::size_t kRowsPerJob = 5;
 
   struct Entry
   {
     /** Revision of the job's progress. */
     std::int64_t revision = 0;
+    std::int32_t progressRows = 1;
     bool isCancelled = false;
     /** Encoded final state. */
     std::string value;
   };
 
   std::int64_t termRevision = 0;
+  bool isFull = false;
   std::map<JobKey, Entry> entries;
 };
 
--- a/scheduling/domain_feeds.h
+++ b/scheduling/domain_feeds.h
@@ -128,24 +128,35 @@
     if (!progress || !this->term->IsActive()) {
       co_return false;
     }
-    this->ApplyJobs(jobs->Rows(), progress->Rows());
+    std::string furtherTable = kProgressRowTable;
+    const auto furtherRows = co_await this->term->Rows().Read(
+      std::move(furtherTable), "", "", aReason);
+    if (!furtherRows || !this->term->IsActive()) {
+      co_return false;
+    }
+    this->ApplyJobs(jobs->Rows(), progress->Rows(), furtherRows->Rows());
     this->jobsRevision = jobs->Revision();
     co_return true;
   }
 
   void ApplyJobs(const std::vector<TableRow>& aJobs,
-                 const std::vector<TableRow>& aProgress)
+                 const std::vector<TableRow>& aProgress,
+                 const std::vector<TableRow>& aFurtherRows)
   {
     std::map<std::string, const TableRow*> progress;
     for (const TableRow& row : aProgress) {
       progress[row.Key()] = &row;
     }
+    std::map<std::string, const TableRow*> furtherRows;
+    for (const TableRow& row : aFurtherRows) {
+      furtherRows[row.Key()] = &row;
+    }
     for (const TableRow& row : aJobs) {
       const auto found = progress.find(row.Key());
       // Both rows are written together and the progress is read last, so a job
       // without progress was archived between the reads.
       if (!CancelledJob(row.Key()) && found != progress.end()) {
-        this->ApplyJob(row, found->second);
+        this->ApplyJob(row, found->second, furtherRows);
       }
     }
     // AddJob keeps the progress of a job that is already tracked, so a
@@ -159,13 +170,23 @@
 
   /** Without aProgress the job is new: its progress was written in the same
    * transaction and so has the revision of the job's own row. */
-  void ApplyJob(const TableRow& aJob, const TableRow* aProgress)
+  void ApplyJob(const TableRow& aJob,
+                const TableRow* aProgress,
+                const std::map<std::string, const TableRow*>& aFurtherRows)
   {
     Reason reason;
     std::optional<AdmittedJob> job = DecodeAdmittedJob(aJob.Value(), reason);
     std::optional<JobProgress> progress;
     if (job && aProgress != nullptr) {
-      progress = DecodeJobProgress(aProgress->Value(), reason);
+      std::vector<std::string> rows{ aProgress->Value() };
+      const JobKey key(aJob.Key());
+      for (auto row = aFurtherRows.find(ProgressRowKey(key, 1));
+           row != aFurtherRows.end();
+           row = aFurtherRows.find(
+             ProgressRowKey(key, static_cast<std::int32_t>(rows.size())))) {
+        rows.push_back(row->second->Value());
+      }
+      progress = DecodeProgressRows(rows, reason);
     }
     if (!job || (aProgress != nullptr && !progress)) {
       EventLine("job_unreadable").Field("job", aJob.Key()).Field(reason).Emit();
@@ -189,7 +210,7 @@
           .Emit();
         continue;
       }
-      this->ApplyJob(row, nullptr);
+      this->ApplyJob(row, nullptr, {});
     }
   }
 
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -8,6 +8,7 @@
 #include "contracts/job_call.h"
 #include "contracts/job_progress_builder.h"
 #include "contracts/job_reply.h"
+#include "contracts/progress_limits.h"
 #include "core/reason.h"
 #include "core/wall_time.h"
 #include "links/row_store.h"
@@ -202,6 +203,11 @@
     if (!aCall.plan || aCallContext.job.Empty()) {
       co_return Refuse(JobReply::Kind::kMalformed, "the body is no job");
     }
+    Reason sizeReason;
+    if (!HasStorableProgress(
+          *aCall.plan, aCallContext.queue.MaxAttempts(), sizeReason)) {
+      co_return Refuse(JobReply::Kind::kMalformed, sizeReason.Message());
+    }
     bool mayBeWritten = false;
     while (true) {
       Reason reason;
@@ -230,6 +236,10 @@
       } else {
         mayBeWritten =
           mayBeWritten || answer.Outcome() == WriteOutcome::kNotKnown;
+        if (answer.IsInvalid()) {
+          // No earlier attempt can have been stored either.
+          co_return Refuse(JobReply::Kind::kMalformed, reason.Message());
+        }
         if (!mayBeWritten) {
           co_return Refuse(JobReply::Kind::kNotRun, reason.Message());
         }
@@ -449,6 +459,7 @@
                              .Marks(aProgress.Marks())
                              .FailedRuns(aProgress.FailedRuns())
                              .Placements(aProgress.Placements())
+                             .Rows(aProgress.Rows())
                              .Build(ignored);
     std::vector<TableCheck> checks;
     std::vector<TableWrite> writes;
--- a/scheduling/progress_writer.h
+++ b/scheduling/progress_writer.h
@@ -6,11 +6,13 @@
 #include "scheduling/event_line.h"
 #include "scheduling/order_sender.h"
 #include "scheduling/progress_batch.h"
+#include "scheduling/refused_jobs.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <vector>
 
 namespace sardinecourse {
 
@@ -31,12 +33,14 @@
   void Wake() { this->changed.cancel(); }
 
   /** Stores progress until the term ends. Failed writes are logged and
-   * repeated. */
+   * repeated; a job that the store refuses does not delay the others. */
   boost::asio::awaitable<void> Run()
   {
     while (this->term->IsActive()) {
-      const ProgressBatch batch =
-        ProgressBatch::Collect(this->term->Domain(), this->term->Revision());
+      const ProgressBatch batch = ProgressBatch::Collect(this->term->Domain(),
+                                                         this->term->Revision(),
+                                                         this->refused,
+                                                         Clock::now());
       if (batch.Empty()) {
         this->sender->SendStored();
         co_await this->AwaitChange();
@@ -54,6 +58,13 @@
         co_return;
       }
       this->sender->SendStored();
+      if (answer.Outcome() == WriteOutcome::kCommitted) {
+        this->refused.Stored(batch.Jobs());
+      }
+      if (answer.IsInvalid()) {
+        this->NoteRefused(batch.Jobs(), reason);
+        continue;
+      }
       const bool isFailed = answer.Outcome() == WriteOutcome::kNotWritten ||
                             answer.Outcome() == WriteOutcome::kNotKnown;
       if (isFailed) {
@@ -71,6 +82,18 @@
   /** Longest pause before the loop checks for unsaved progress. */
   static constexpr Milliseconds kMaxWait{ 100 };
 
+  void NoteRefused(const std::vector<JobKey>& aJobs, const Reason& aReason)
+  {
+    this->term->Metrics().Count(DomainMetrics::Event::kStoreFailed);
+    this->refused.Refused(aJobs, Clock::now());
+    EventLine("progress_refused")
+      .Field("term", this->term->Number())
+      .Field("jobs", static_cast<std::int64_t>(aJobs.size()))
+      .Field("first", aJobs.front().Text())
+      .Field(aReason)
+      .Emit();
+  }
+
   boost::asio::awaitable<void> AwaitChange()
   {
     boost::system::error_code ignored;
@@ -81,6 +104,7 @@
 
   Term* term;
   OrderSender<Term>* sender;
+  RefusedJobs refused;
   boost::asio::steady_timer changed;
 };
 
--- a/scheduling/store_rows.cpp
+++ b/scheduling/store_rows.cpp
@@ -22,6 +22,12 @@
   return aJob.Text() + std::string(kCancelSuffix);
 }
 
+std::string
+ProgressRowKey(const JobKey& aJob, std::int32_t aIndex)
+{
+  return aJob.Text() + "." + std::to_string(aIndex);
+}
+
 std::optional<JobKey>
 CancelledJob(const std::string& aRowKey)
 {
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -20,6 +20,10 @@
 inline const std::string kJobTable = "jobs";
 /** Progress of each job, by the job's key. */
 inline const std::string kProgressTable = "progress";
+/** Further rows of progress that does not fit into one row, by
+ * ProgressRowKey(). They are written together with the first row, whose
+ * revision is the condition for every change. */
+inline const std::string kProgressRowTable = "progress_rows";
 /** Final state of each ended job, by the job's key, for as long as callers may
  * ask for it. The job's rows in the other two tables are deleted by the
  * transaction that writes this row, so that loading the domain takes time in
@@ -39,6 +43,11 @@
 std::optional<JobKey>
 CancelledJob(const std::string& aRowKey);
 
+/** Key in kProgressRowTable of a row of aJob's progress; aIndex counts from 1,
+ * since the first row is in kProgressTable. */
+std::string
+ProgressRowKey(const JobKey& aJob, std::int32_t aIndex);
+
 /** Adds a check to a transaction: the row must have aRevision, 0 when it must
  * not exist. aKey must not be empty, or the check is left out. */
 void
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -31,6 +31,8 @@
   CPPUNIT_TEST_SUITE(DomainCodecsTest);
   CPPUNIT_TEST(AdmittedJobRoundTrips);
   CPPUNIT_TEST(JobProgressRoundTrips);
+  CPPUNIT_TEST(ProgressRowsRoundTripWithinTheirLimit);
+  CPPUNIT_TEST(ProgressOfEarlierVersionsIsRead);
   CPPUNIT_TEST(DomainOwnerRoundTrips);
   CPPUNIT_TEST(PendingCountRoundTrips);
   CPPUNIT_TEST(Base64RoundTripsAndRefusesInvalidText);
@@ -69,6 +71,62 @@
     CPPUNIT_ASSERT(progress == *read);
   }
 
+  /** A gang of 1,000 members on workers with long names exceeds one row. */
+  void ProgressRowsRoundTripWithinTheirLimit()
+  {
+    constexpr std::size_t kMaxBytes = 49'152;
+    std::vector<UnitPlacement> placements;
+    std::vector<FailedRun> failed;
+    for (std::int32_t unit = 0; unit < 3; ++unit) {
+      UnitPlacement placement{ unit, unit + 2, "saved", {} };
+      for (int worker = 0; worker < 1000; ++worker) {
+        placement.workers.emplace_back(std::string(150, 'w') +
+                                       std::to_string(worker));
+      }
+      placements.push_back(placement);
+      failed.push_back(FailedRun{ unit, 1 });
+      failed.push_back(FailedRun{ unit, 7 });
+    }
+    const auto make = [&](std::int32_t aRows) {
+      return Valid(JobProgressBuilder()
+                     .Queue(QueueName("q"))
+                     .State(JobState::kRunning)
+                     .Marks("sss")
+                     .FailedRuns(failed)
+                     .Placements(placements)
+                     .Rows(aRows));
+    };
+    std::vector<std::string> rows = EncodeProgressRows(make(1), kMaxBytes);
+    CPPUNIT_ASSERT(rows.size() > 1);
+    for (const std::string& row : rows) {
+      CPPUNIT_ASSERT(row.size() <= kMaxBytes);
+    }
+    Reason reason;
+    const auto read = DecodeProgressRows(rows, reason);
+    CPPUNIT_ASSERT_MESSAGE(reason.Message(), read.has_value());
+    CPPUNIT_ASSERT(make(static_cast<std::int32_t>(rows.size())) == *read);
+    rows.pop_back();
+    CPPUNIT_ASSERT(!DecodeProgressRows(rows, reason));
+  }
+
+  void ProgressOfEarlierVersionsIsRead()
+  {
+    Reason reason;
+    const auto read = DecodeJobProgress(
+      R"({"queue":"q","state":"running","marks":"s","failed":[{"unit":0,)"
+      R"("run":1}],"placements":[{"unit":0,"run":2,"saved":"c",)"
+      R"("workers":["w1"]}]})",
+      reason);
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT(Valid(JobProgressBuilder()
+                           .Queue(QueueName("q"))
+                           .State(JobState::kRunning)
+                           .Marks("s")
+                           .FailedRuns({ FailedRun{ 0, 1 } })
+                           .Placements({ UnitPlacement{
+                             0, 2, "c", { WorkerName("w1") } } })) == *read);
+  }
+
   void DomainOwnerRoundTrips()
   {
     const DomainOwner owner = Valid(DomainOwnerBuilder()
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(LostCommitAnswerIsRetriedBeforeReply);
   CPPUNIT_TEST(UnresolvedCommitIsReportedAsNotKnown);
   CPPUNIT_TEST(StoreRefusalRefusesCallWithoutRetry);
+  CPPUNIT_TEST(JobBeyondTheStoresLimitsIsMalformed);
   CPPUNIT_TEST(KeyRevokedDuringSubmitStoresNothing);
   CPPUNIT_TEST(StaleConfirmationRefusesEveryCall);
   CPPUNIT_TEST(CancelIsVisibleAndStoredForHolder);
@@ -100,6 +101,22 @@
     CPPUNIT_ASSERT_EQUAL(1, this->store.commits);
   }
 
+  /** A repetition would be refused again, so the caller is not told to come
+   * back. */
+  void JobBeyondTheStoresLimitsIsMalformed()
+  {
+    JobCall call = this->MakeCall(JobCall::Kind::kSubmit);
+    call.plan = Valid(JobPlanBuilder()
+                        .Payload(std::string(60'000, 'p'))
+                        .Steps({ Valid(QuarterStep(2)) }));
+    CPPUNIT_ASSERT(JobReply::Kind::kMalformed == this->Serve(call).kind);
+    CPPUNIT_ASSERT_EQUAL(1, this->store.refusals);
+    call.plan = Valid(JobPlanBuilder().Steps({ Valid(WholeWorkerGang(5000)) }));
+    CPPUNIT_ASSERT(JobReply::Kind::kMalformed == this->Serve(call).kind);
+    CPPUNIT_ASSERT_EQUAL(1, this->store.commits);
+    CPPUNIT_ASSERT(this->store.Find(kJobTable, kJob) == nullptr);
+  }
+
   void KeyRevokedDuringSubmitStoresNothing()
   {
     this->store.beforeCommit = [this] {
--- a/tests/scheduling/fake_row_store.h
+++ b/tests/scheduling/fake_row_store.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "codecs/base64.h"
 #include "contracts/commit_answer_builder.h"
 #include "contracts/row_page_builder.h"
 #include "contracts/table_row_builder.h"
 #include "core/reason.h"
 #include "links/row_store.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -37,6 +40,8 @@
   /** Called once, before the next transaction is processed. */
   std::function<void()> beforeCommit;
   int commits = 0;
+  /** Transactions that exceeded a limit of the platform's store. */
+  int refusals = 0;
 
   boost::asio::awaitable<std::optional<RowPage>> Read(std::string aTable,
                                                       std::string aFrom,
@@ -104,6 +109,11 @@
     if (fault == StoreFault::kLostUnapplied) {
       co_return MakeAnswer(WriteOutcome::kNotKnown);
     }
+    if (!IsWithinLimits(aTransaction)) {
+      aReason = Reason(Step::kPlatformWrite, "fake", "status 400");
+      ++this->refusals;
+      co_return MakeInvalid();
+    }
     const bool isCommitted = this->Apply(aTransaction);
     if (fault == StoreFault::kLostApplied) {
       co_return MakeAnswer(WriteOutcome::kNotKnown);
@@ -130,6 +140,14 @@
     return found == this->rows.end() ? nullptr : &found->second;
   }
 
+  std::size_t CountRows(const std::string& aTable) const
+  {
+    return static_cast<std::size_t>(std::count_if(
+      this->rows.begin(), this->rows.end(), [&aTable](const auto& aEntry) {
+        return aEntry.first.first == aTable;
+      }));
+  }
+
 private:
   static CommitAnswer MakeAnswer(WriteOutcome aOutcome)
   {
@@ -137,6 +155,36 @@
     return *CommitAnswerBuilder().Outcome(aOutcome).Build(reason);
   }
 
+  static CommitAnswer MakeInvalid()
+  {
+    Reason reason;
+    return *CommitAnswerBuilder()
+              .Outcome(WriteOutcome::kNotWritten)
+              .IsInvalid(true)
+              .Build(reason);
+  }
+
+  /** Whether the platform's store accepts a transaction of this size. */
+  static bool IsWithinLimits(const TableTransaction& aTransaction)
+  {
+    constexpr std::size_t kMaxRows = 100;
+    constexpr std::size_t kMaxValueBytes = 65'536;
+    constexpr std::size_t kMaxCallBytes = 1'000'000;
+    constexpr std::size_t kMaxKeyBytes = 200;
+    std::size_t bytes = 0;
+    for (const TableWrite& write : aTransaction.Writes()) {
+      const std::size_t valueBytes =
+        EncodeBase64(write.NewValue().value_or("")).size();
+      if (valueBytes > kMaxValueBytes || write.Key().size() > kMaxKeyBytes) {
+        return false;
+      }
+      bytes += valueBytes;
+    }
+    return bytes <= kMaxCallBytes &&
+           aTransaction.Checks().size() + aTransaction.Writes().size() <=
+             kMaxRows;
+  }
+
   CommitAnswer Committed() const
   {
     Reason reason;
--- a/tests/scheduling/progress_batch_test.cpp
+++ b/tests/scheduling/progress_batch_test.cpp
@@ -6,6 +6,7 @@
 #include "contracts/job_progress_builder.h"
 #include "contracts/table_row_builder.h"
 #include "scheduling/domain_metrics.h"
+#include "scheduling/refused_jobs.h"
 #include "scheduling/store_rows.h"
 #include "tests/scheduling/sample_jobs.h"
 #include "zones/domain_state.h"
@@ -48,8 +49,8 @@
 
   void OnlyConfirmedCommitMarksJobStored()
   {
-    const ProgressBatch batch =
-      ProgressBatch::Collect(this->domain, kTermRevision);
+    const ProgressBatch batch = ProgressBatch::Collect(
+      this->domain, kTermRevision, RefusedJobs(), Instant());
     CPPUNIT_ASSERT(!batch.Empty());
     CPPUNIT_ASSERT(batch.ApplyOutcome(
       this->Answer(WriteOutcome::kNotKnown, {}), this->domain, Instant()));
@@ -61,8 +62,8 @@
 
   void CommitWithLostAnswerIsRecognisedInStoredRow()
   {
-    const ProgressBatch batch =
-      ProgressBatch::Collect(this->domain, kTermRevision);
+    const ProgressBatch batch = ProgressBatch::Collect(
+      this->domain, kTermRevision, RefusedJobs(), Instant());
     const std::string ours =
       EncodeJobProgress(this->domain.FindJob(kJob)->Progress());
     batch.ApplyOutcome(this->Answer(WriteOutcome::kConflict, { Row(ours, 9) }),
@@ -75,8 +76,8 @@
 
   void CancellationInStoredRowCancelsTrackedJob()
   {
-    const ProgressBatch batch =
-      ProgressBatch::Collect(this->domain, kTermRevision);
+    const ProgressBatch batch = ProgressBatch::Collect(
+      this->domain, kTermRevision, RefusedJobs(), Instant());
     const std::string cancelled =
       EncodeJobProgress(Valid(JobProgressBuilder()
                                 .Queue(QueueName("queue-1"))
@@ -90,8 +91,8 @@
 
   void ConflictWithNewerTermDeposesHolder()
   {
-    const ProgressBatch batch =
-      ProgressBatch::Collect(this->domain, kTermRevision);
+    const ProgressBatch batch = ProgressBatch::Collect(
+      this->domain, kTermRevision, RefusedJobs(), Instant());
     const TableRow term = Valid(TableRowBuilder()
                                   .Table(kDomainTable)
                                   .Key(kTermRow)
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -128,9 +128,13 @@
                                        target.Query("From"),
                                        target.Query("Target")));
   }
+  const json transaction = json::parse(aRequest.body, nullptr, false);
+  if (const std::string refusal = SiteStore::Refusal(transaction);
+      !refusal.empty()) {
+    co_return Answer(400, { { "Error", refusal } });
+  }
   json body;
-  const bool isApplied =
-    this->store.Apply(json::parse(aRequest.body, nullptr, false), body);
+  const bool isApplied = this->store.Apply(transaction, body);
   const int lossesLeft = this->faults.value("lose_commits", 0);
   if (lossesLeft > 0) {
     this->faults["lose_commits"] = lossesLeft - 1;
--- a/tests/stand_ins/site_store.cpp
+++ b/tests/stand_ins/site_store.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::size_t kMaxRows = 500;
+constexpr std::size_t kMaxEntries = 100;
+constexpr std::size_t kMaxValueBytes = 65'536;
+constexpr std::size_t kMaxKeyBytes = 200;
+constexpr std::size_t kMaxCallBytes = 1'000'000;
 
 }
 
@@ -44,6 +48,28 @@
            : found->second.version;
 }
 
+std::string
+SiteStore::Refusal(const json& aTransaction)
+{
+  std::size_t entries = 0;
+  for (const char* list : { "ExpectedRev", "SetKeys", "Remove" }) {
+    for (const json& row : aTransaction.value(list, json::array())) {
+      ++entries;
+      if (row.value("Key", "").size() > kMaxKeyBytes) {
+        return "a key is too long";
+      }
+      if (row.value("Value", "").size() > kMaxValueBytes) {
+        return "the value of " + row.value("Key", "") + " is too large";
+      }
+    }
+  }
+  if (entries > kMaxEntries) {
+    return "there are too many entries";
+  }
+  return aTransaction.dump().size() > kMaxCallBytes ? "the call is too large"
+                                                    : "";
+}
+
 bool
 SiteStore::Apply(const json& aTransaction, json& aAnswer)
 {
--- a/tests/stand_ins/site_store.h
+++ b/tests/stand_ins/site_store.h
@@ -13,6 +13,9 @@
 class SiteStore
 {
 public:
+  /** Why the store refuses a transaction for its size; empty when it does not.
+   */
+  static std::string Refusal(const nlohmann::json& aTransaction);
   /** Applies the body of a transaction. Returns false, with the current rows of
    * its conditions in aAnswer, when a condition is not met. */
   bool Apply(const nlohmann::json& aTransaction, nlohmann::json& aAnswer);
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -1,5 +1,6 @@
 #include "zones/domain_pass.h"
 
+#include "contracts/progress_limits.h"
 #include "zones/domain_state.h"
 #include "zones/place_search.h"
 #include "zones/preemption_reservations.h"
@@ -160,6 +161,8 @@
 {
   const TaskUnit* previous = nullptr;
   bool isDue = false;
+  bool hasGroup = false;
+  std::int64_t openTasksLeft = kMaxOpenTasks - aJob.OpenTasks();
   for (std::size_t index = 0; index < aJob.Units().size(); ++index) {
     const TaskUnit& unit = aJob.Units()[index];
     if (unit.Done() || !unit.Idle()) {
@@ -171,11 +174,18 @@
     previous = &unit;
     if (!isSameStep) {
       isDue = this->IsDue(aJob, unit);
+      hasGroup = false;
     }
     if (!isDue) {
       continue;
     }
-    if (!isSameStep) {
+    if (!unit.IsOpen()) {
+      if (unit.Count() > openTasksLeft) {
+        continue;
+      }
+      openTasksLeft -= unit.Count();
+    }
+    if (!std::exchange(hasGroup, true)) {
       aGroups.push_back(
         WaitingGroup{ aJob.Job().Priority(), aJob.Job().Admitted(), {} });
     }
--- a/zones/task_unit.cpp
+++ b/zones/task_unit.cpp
@@ -10,17 +10,22 @@
 namespace {
 
 constexpr std::int32_t kFullPercent = 100;
+/** Longer checkpoints are not kept, since the store limits the size of a row;
+ * the next run then resumes from an earlier one. */
+constexpr std::size_t kMaxCheckpointBytes = 1024;
 
 }
 
 TaskUnit::TaskUnit(std::int32_t aOccurrence,
                    std::int32_t aStep,
                    std::int32_t aFirst,
-                   std::int32_t aCount)
+                   std::int32_t aCount,
+                   bool aCountsFailures)
   : occurrence(aOccurrence)
   , step(aStep)
   , first(aFirst)
   , count(aCount)
+  , countsFailures(aCountsFailures)
 {
 }
 
@@ -49,7 +54,9 @@
 {
   this->done = aMark == JobProgress::kDone;
   this->everStarted = aMark != JobProgress::kNeverStarted;
-  this->failedRuns = std::move(aFailedRuns);
+  if (this->countsFailures) {
+    this->failedRuns = std::move(aFailedRuns);
+  }
 }
 
 void
@@ -136,7 +143,13 @@
     aMember.percent = aPercent;
     this->lastProgress = aNow;
   }
-  if (!aSaved.empty()) {
+  this->SaveCheckpoint(aSaved);
+}
+
+void
+TaskUnit::SaveCheckpoint(const std::string& aSaved)
+{
+  if (!aSaved.empty() && aSaved.size() <= kMaxCheckpointBytes) {
     this->checkpoint = aSaved;
   }
 }
@@ -146,8 +159,8 @@
                     RunOutcome aOutcome,
                     const std::string& aSaved)
 {
-  if (!aSaved.empty() && aRun == this->run) {
-    this->checkpoint = aSaved;
+  if (aRun == this->run) {
+    this->SaveCheckpoint(aSaved);
   }
   if (this->done) {
     return false;
@@ -161,7 +174,7 @@
   }
   // Several members of a gang may report the failure of their common run, which
   // counts once.
-  return aOutcome == RunOutcome::kFailed &&
+  return aOutcome == RunOutcome::kFailed && this->countsFailures &&
          this->failedRuns.insert(aRun).second;
 }
 
--- a/zones/task_unit.h
+++ b/zones/task_unit.h
@@ -22,7 +22,8 @@
   TaskUnit(std::int32_t aOccurrence,
            std::int32_t aStep,
            std::int32_t aFirst,
-           std::int32_t aCount);
+           std::int32_t aCount,
+           bool aCountsFailures);
 
   std::int32_t Occurrence() const { return this->occurrence; }
   std::int32_t Step() const { return this->step; }
@@ -34,9 +35,13 @@
   std::int64_t Run() const { return this->run; }
   const std::vector<MemberRun>& Members() const { return this->members; }
   const std::string& Checkpoint() const { return this->checkpoint; }
-  /** Numbers of the runs that failed; each counts as one attempt. */
+  /** Numbers of the runs that failed; each counts as one attempt. Empty for a
+   * unit without a limit of attempts. */
   const std::set<std::int64_t>& FailedRuns() const { return this->failedRuns; }
   bool Done() const { return this->done; }
+  /** Whether the unit was started and is not done; its stored progress then
+   * lists the latest run. */
+  bool IsOpen() const { return this->run > 0 && !this->done; }
   bool EverStarted() const { return this->everStarted; }
   /** Whether the run was given up; its members are being stopped. */
   bool Abandoned() const { return this->abandonedFor != StopCause::kNone; }
@@ -103,10 +108,13 @@
                  const std::string& aSaved);
 
 private:
+  void SaveCheckpoint(const std::string& aSaved);
+
   std::int32_t occurrence;
   std::int32_t step;
   std::int32_t first;
   std::int32_t count;
+  bool countsFailures;
   std::int64_t run = 0;
   std::vector<MemberRun> members;
   std::string checkpoint;
--- a/zones/tracked_job.cpp
+++ b/zones/tracked_job.cpp
@@ -5,6 +5,7 @@
 #include "core/reason.h"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -44,11 +45,13 @@
           static_cast<std::int32_t>(this->units.size()));
       }
       if (steps[step].IsGang()) {
-        this->units.emplace_back(occurrence, step, 0, count);
+        this->units.emplace_back(
+          occurrence, step, 0, count, !steps[step].IsEndless());
         continue;
       }
       for (std::int32_t index = 0; index < count; ++index) {
-        this->units.emplace_back(occurrence, step, index, 1);
+        this->units.emplace_back(
+          occurrence, step, index, 1, !steps[step].IsEndless());
       }
     }
     if (occurrence == 0) {
@@ -110,6 +113,17 @@
                      [](const TaskUnit& aUnit) { return aUnit.EverStarted(); });
 }
 
+std::int64_t
+TrackedJob::OpenTasks() const
+{
+  return std::accumulate(this->units.begin(),
+                         this->units.end(),
+                         std::int64_t{ 0 },
+                         [](std::int64_t aTasks, const TaskUnit& aUnit) {
+                           return aTasks + (aUnit.IsOpen() ? aUnit.Count() : 0);
+                         });
+}
+
 bool
 TrackedJob::Idle() const
 {
@@ -142,6 +156,7 @@
     }
   }
   this->state = aProgress.State();
+  this->storedRows = aProgress.Rows();
   // The time at which the job became final is not stored, so the retention time
   // starts anew.
   this->finalSince = this->firstSeen;
@@ -158,7 +173,7 @@
     for (const std::int64_t run : this->units[unit].FailedRuns()) {
       failed.push_back(FailedRun{ static_cast<std::int32_t>(unit), run });
     }
-    if (this->units[unit].Run() > 0 && !this->units[unit].Done()) {
+    if (this->units[unit].IsOpen()) {
       placements.push_back(
         PlacementOf(this->units[unit], static_cast<std::int32_t>(unit)));
     }
--- a/zones/tracked_job.h
+++ b/zones/tracked_job.h
@@ -38,6 +38,8 @@
   bool AreDependenciesDone(const TaskUnit& aUnit) const;
   /** Whether any unit was ever started, by this holder or an earlier one. */
   bool HasStarted() const;
+  /** Number of tasks whose unit is open. */
+  std::int64_t OpenTasks() const;
   /** Whether no task of the job can be running. */
   bool Idle() const;
 
@@ -53,8 +55,11 @@
   std::int64_t StoredVersion() const { return this->storedVersion; }
   bool Dirty() const { return this->storedVersion < this->version; }
   void MarkStored(std::int64_t aVersion, std::int64_t aRevision);
-  /** Revision of the row in which the progress is stored. */
+  /** Revision of the first row in which the progress is stored. */
   std::int64_t Revision() const { return this->revision; }
+  /** Number of rows that may exist for the job's progress. */
+  std::int32_t StoredRows() const { return this->storedRows; }
+  void SetStoredRows(std::int32_t aRows) { this->storedRows = aRows; }
 
 private:
   void SetFinal(JobState aState, Instant aNow);
@@ -71,6 +76,7 @@
   std::int64_t version = 0;
   std::int64_t storedVersion = 0;
   std::int64_t revision = 0;
+  std::int32_t storedRows = 1;
 };
 
 }
