Give up no run by a report that is full of ended runs

Cause: a report lists at most 500 ended runs. While ends cannot be acknowledged, the runs after the 500th are listed neither as running nor as ended; ApplyMissing() took them for gone, and they were placed again.

Fix: a report with as many ends as fit is marked as truncated, and a truncated report proves nothing of runs that it doesn't list, unless the worker has restarted. The stand-ins of workers list 500 ends at a time, as the platform's workers do.

--- a/contracts/worker_report.h
+++ b/contracts/worker_report.h
@@ -21,6 +21,9 @@
   std::int64_t ClockMs() const { return this->clockMs; }
   const std::vector<RunningTask>& Running() const { return this->running; }
   const std::vector<EndedTask>& Ended() const { return this->ended; }
+  /** True if more runs may have ended than the report lists, so that a task
+   * that it does not list may have ended too. */
+  bool IsTruncated() const { return this->isTruncated; }
 
   auto operator<=>(const WorkerReport&) const = default;
 
@@ -31,6 +34,7 @@
   std::int64_t clockMs = 0;
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  bool isTruncated = false;
 };
 
 }
--- a/contracts/worker_report_builder.cpp
+++ b/contracts/worker_report_builder.cpp
@@ -34,6 +34,13 @@
   return *this;
 }
 
+WorkerReportBuilder&
+WorkerReportBuilder::IsTruncated(bool aIsTruncated)
+{
+  this->value.isTruncated = aIsTruncated;
+  return *this;
+}
+
 std::optional<WorkerReport>
 WorkerReportBuilder::Build(Reason& aReason) const
 {
--- a/contracts/worker_report_builder.h
+++ b/contracts/worker_report_builder.h
@@ -17,6 +17,7 @@
   WorkerReportBuilder& ClockMs(std::int64_t aClockMs);
   WorkerReportBuilder& Running(std::vector<RunningTask> aRunning);
   WorkerReportBuilder& Ended(std::vector<EndedTask> aEnded);
+  WorkerReportBuilder& IsTruncated(bool aIsTruncated);
   std::optional<WorkerReport> Build(Reason& aReason) const;
 
 private:
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -50,6 +50,7 @@
   CPPUNIT_TEST(DecodesJobBody);
   CPPUNIT_TEST(InvalidJobBodyIsRefused);
   CPPUNIT_TEST(DecodesWorkerReport);
+  CPPUNIT_TEST(ReportWithMostEndsIsTruncated);
   CPPUNIT_TEST(EncodesTransaction);
   CPPUNIT_TEST(LeaseHasAPartOfItsOwn);
   CPPUNIT_TEST(DecodesRowsAndRemovedKeys);
@@ -184,6 +185,22 @@
     }
   }
 
+  void ReportWithMostEndsIsTruncated()
+  {
+    for (const int ends : { 499, 500 }) {
+      std::string rows;
+      for (int end = 1; end <= ends; ++end) {
+        rows += (end == 1 ? "[" : ",[") + std::to_string(end) +
+                R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+      }
+      Reason reason;
+      const auto report = DecodeReport(
+        R"({"ClockMs":1,"Running":[],"Ended":[)" + rows + "]}", reason);
+      CPPUNIT_ASSERT(report.has_value());
+      CPPUNIT_ASSERT_EQUAL(ends == 500, report->IsTruncated());
+    }
+  }
+
   void DecodesWorkerReport()
   {
     Reason reason;
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(StalledHolderDoesNotAcknowledgeStaleEndNumber);
   CPPUNIT_TEST(FailureReportedAgainAfterTakeoverCountsOnce);
   CPPUNIT_TEST(UnreportedEndBeforeWorkerCrashIsRerun);
+  CPPUNIT_TEST(EndBeyondTruncatedReportIsNotRerun);
   CPPUNIT_TEST(TaskOfUnreachableWorkerIsRerunElsewhere);
   CPPUNIT_TEST(TaskOfReplacedWorkerIsRerunElsewhereAtOnce);
   CPPUNIT_TEST_SUITE_END();
@@ -388,6 +389,35 @@
 
   /** A worker that is cut off ends a task and crashes before it can report the
    * end, so the end is lost. */
+  /** While the store is down no end can be acknowledged, so that a worker with
+   * more than 500 ended runs lists only the first 500 of them. The others were
+   * once taken for lost and run again. */
+  void EndBeyondTruncatedReportIsNotRerun()
+  {
+    constexpr std::int32_t kTasks = 600;
+    DomainWorld world(1, 1);
+    world.PollAll();
+    world.Submit(MakeAdmitted("many",
+                              2,
+                              { Valid(JobStepBuilder()
+                                        .Count(kTasks)
+                                        .Need(MakeResources(100, 64, 0))
+                                        .Estimate(Milliseconds(500))) }),
+                 500,
+                 false);
+    world.Pass({});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ kTasks }, world.site.Starts());
+    world.PollAll();
+    world.isStoreDown = true;
+    world.Advance(1000);
+    world.PollAll();
+    world.Pass({});
+    CPPUNIT_ASSERT(world.Settle(20'000));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ kTasks }, world.site.Starts());
+    CPPUNIT_ASSERT(world.site.Violations().empty());
+    CPPUNIT_ASSERT(JobState::kFinished == world.StateOf("many"));
+  }
+
   void UnreportedEndBeforeWorkerCrashIsRerun()
   {
     DomainWorld world(1, 1);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -67,18 +67,20 @@
                               .Percent(static_cast<std::int32_t>(share))));
   }
   std::vector<EndedTask> ended;
-  for (const SiteEnd& end : aWorker.Ends()) {
+  for (const SiteEnd& end : aWorker.ListedEnds()) {
     ended.push_back(Valid(EndedTaskBuilder()
                             .Number(end.number)
                             .Task(AddressOf(end.task))
                             .Run(end.run)
                             .Outcome(OutcomeOf(end.outcome))));
   }
+  const bool isTruncated = ended.size() >= SiteWorker::kMaxListedEnds;
   return Valid(WorkerReportBuilder()
                  .Incarnation(aWorker.incarnation)
                  .ClockMs(aNowMs)
                  .Running(std::move(running))
-                 .Ended(std::move(ended)));
+                 .Ended(std::move(ended))
+                 .IsTruncated(isTruncated));
 }
 
 }
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -247,7 +247,7 @@
     for (const auto& [name, current] : worker.Runs()) {
       answer["Running"].push_back({ name, current.run, "", 0 });
     }
-    for (const SiteEnd& end : worker.Ends()) {
+    for (const SiteEnd& end : worker.ListedEnds()) {
       answer["Ended"].push_back(
         { end.number, end.task, end.run, end.outcome, "" });
     }
--- a/tests/stand_ins/site_worker.cpp
+++ b/tests/stand_ins/site_worker.cpp
@@ -82,6 +82,15 @@
   return "ok";
 }
 
+std::vector<SiteEnd>
+SiteWorker::ListedEnds() const
+{
+  const std::size_t count = std::min(this->ends.size(), kMaxListedEnds);
+  return std::vector<SiteEnd>(this->ends.begin(),
+                              this->ends.begin() +
+                                static_cast<std::ptrdiff_t>(count));
+}
+
 void
 SiteWorker::End(const std::string& aTask, const std::string& aOutcome)
 {
--- a/tests/stand_ins/site_worker.h
+++ b/tests/stand_ins/site_worker.h
@@ -41,6 +41,8 @@
 public:
   /** Longer leases are cut to this. */
   static constexpr std::int64_t kMaxLeaseMs = 6000;
+  /** Max ends in one report. */
+  static constexpr std::size_t kMaxListedEnds = 500;
   /** Time from the order to stop until the run ends. */
   static constexpr std::int64_t kStopDelayMs = 200;
 
@@ -81,6 +83,8 @@
 
   std::map<std::string, SiteRun>& Runs() { return this->runs; }
   const std::vector<SiteEnd>& Ends() const { return this->ends; }
+  /** The ends in one report: the oldest that are not acknowledged. */
+  std::vector<SiteEnd> ListedEnds() const;
 
 private:
   /** Whether the token is older than the highest so far; keeps a newer one. */
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -317,6 +317,12 @@
                           bool aIsRestarted,
                           Instant aSent)
 {
+  // A run that a truncated report does not list may have ended; its end is in a
+  // later report, after the listed ones are acknowledged. A restart ends all
+  // runs in any case.
+  if (aReport.IsTruncated() && !aIsRestarted) {
+    return;
+  }
   std::set<TaskAddress> listed;
   for (const RunningTask& running : aReport.Running()) {
     listed.insert(running.Task());
