Forbid a job's admission before answering that there is no such job

Cause: Cancel() answered "no such job" from a read alone, while another host's admission was under way; nothing in the store kept it from taking effect later.

Fix: the answer follows a transaction that writes a tombstone on condition that the job does not exist; each admission is conditional on there being no tombstone. If the admission was first, the cancel finds the job and cancels it. A submit that meets a tombstone is answered as not run, without Retry-After. The holder reads the table every 30 s and deletes tombstones that were unchanged for the retention time of final states.

--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -114,6 +114,7 @@
     this->Spawn([this] { return this->PassPeriodically(); });
     this->Spawn([this] { return this->archive.ArchiveEndedJobs(); });
     this->Spawn([this] { return this->archive.DeleteOldEntries(); });
+    this->Spawn([this] { return this->archive.DeleteOldTombstones(); });
   }
 
   boost::asio::awaitable<void> PassPeriodically()
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -223,6 +223,13 @@
             ContainsRow(answer.Current(), kEndedTable, job)) {
           co_return MakeReply(JobReply::Kind::kAccepted);
         }
+        if (ContainsRow(answer.Current(), kTombstoneTable, job)) {
+          JobReply refusal =
+            Refuse(JobReply::Kind::kNotRun, "the job was cancelled before");
+          // A repetition is refused too.
+          refusal.retryAfter = Milliseconds(0);
+          co_return refusal;
+        }
         // The configuration has changed, so the call is resolved again with the
         // new one. An attempt under the previous one can no longer take effect.
         mayBeWritten = false;
@@ -271,7 +278,8 @@
   }
 
   /** Transaction that stores a new job and its progress, on condition that the
-   * job does not exist yet and the configuration has not changed. */
+   * job does not exist yet, was not cancelled, and the configuration has not
+   * changed. */
   TableTransaction MakeAdmission(const JobPlan& aPlan,
                                  const CallContext& aCallContext) const
   {
@@ -295,6 +303,7 @@
     std::vector<TableWrite> writes;
     AddCheck(checks, kJobTable, aCallContext.job.Text(), 0);
     AddCheck(checks, kEndedTable, aCallContext.job.Text(), 0);
+    AddCheck(checks, kTombstoneTable, aCallContext.job.Text(), 0);
     AddCheck(checks,
              Schema::CatalogTable(),
              Schema::CatalogKey(),
@@ -407,22 +416,28 @@
       std::int64_t revision = 0;
       const std::optional<JobProgress> progress =
         co_await this->ReadProgress(aCallContext.job, revision, reason);
-      if (!progress && reason.At() == Step::kAdmission) {
-        co_return Refuse(JobReply::Kind::kNoJob, "no such job");
-      }
+      const bool isUnknown = !progress && reason.At() == Step::kAdmission;
       if (progress && progress->Queue() != aCallContext.queue.Name()) {
         co_return Refuse(JobReply::Kind::kNoJob, "no such job");
       }
       if (progress && IsFinal(progress->State())) {
         co_return MakeReply(JobReply::Kind::kCancelled);
       }
-      if (progress) {
+      if (progress || isUnknown) {
         const TableTransaction transaction =
-          this->MakeCancellation(*progress, revision, aCallContext);
+          progress ? this->MakeCancellation(*progress, revision, aCallContext)
+                   : this->MakeTombstone(aCallContext);
         const CommitAnswer answer = co_await this->Commit(transaction, reason);
+        if (answer.Outcome() == WriteOutcome::kCommitted && isUnknown) {
+          co_return Refuse(JobReply::Kind::kNoJob, "no such job");
+        }
         if (answer.Outcome() == WriteOutcome::kCommitted) {
           co_return MakeReply(JobReply::Kind::kCancelled);
         }
+        if (answer.IsInvalid()) {
+          // No job with this key can be admitted either.
+          co_return Refuse(JobReply::Kind::kNoJob, "no such job");
+        }
         if (answer.Outcome() == WriteOutcome::kConflict) {
           JobReply refusal;
           const auto callContext =
@@ -441,6 +456,23 @@
     }
   }
 
+  /** Transaction that forbids the admission of a job, on condition that it does
+   * not exist. Without it "no such job" would be untrue a moment later, when an
+   * admission that is under way is stored. */
+  TableTransaction MakeTombstone(const CallContext& aCallContext) const
+  {
+    std::vector<TableCheck> checks;
+    std::vector<TableWrite> writes;
+    AddCheck(checks, kJobTable, aCallContext.job.Text(), 0);
+    AddCheck(checks, kEndedTable, aCallContext.job.Text(), 0);
+    AddCheck(checks,
+             Schema::CatalogTable(),
+             Schema::CatalogKey(),
+             aCallContext.catalogRevision);
+    AddWrite(writes, kTombstoneTable, aCallContext.job.Text(), "");
+    return MakeTransaction(std::move(checks), std::move(writes));
+  }
+
   /** Pause before a cancellation is retried. It is short, since the holder
    * often changes the progress of a running job, which makes the transaction
    * fail. */
--- a/scheduling/job_archive.h
+++ b/scheduling/job_archive.h
@@ -6,6 +6,7 @@
 #include "scheduling/archive_batch.h"
 #include "scheduling/event_line.h"
 #include "scheduling/store_rows.h"
+#include "scheduling/tombstones.h"
 #include "zones/domain_state.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -77,7 +78,45 @@
     }
   }
 
+  /** Deletes tombstones past the retention time. */
+  boost::asio::awaitable<void> DeleteOldTombstones()
+  {
+    while (this->term->IsActive()) {
+      co_await this->term->PauseFor(kTombstoneInterval);
+      if (!this->term->IsActive() || this->term->IsLeaseExpired()) {
+        continue;
+      }
+      Reason reason;
+      std::string table = kTombstoneTable;
+      const std::optional<RowPage> page =
+        co_await this->term->Rows().Read(std::move(table), "", "", reason);
+      if (!page) {
+        EventLine("tombstones_unreadable").Field(reason).Emit();
+        continue;
+      }
+      this->tombstones.Update(page->Rows(), Clock::now());
+      const std::vector<TableRow> expired = this->tombstones.Expired(
+        this->term->Domain().Timing().FinalJobRetention(),
+        kMaxTombstones,
+        Clock::now());
+      if (expired.empty()) {
+        continue;
+      }
+      const TableTransaction deletion =
+        Tombstones::Deletion(expired, this->term->Revision());
+      const CommitAnswer answer =
+        co_await this->term->Rows().Commit(deletion, reason);
+      if (answer.Outcome() != WriteOutcome::kCommitted) {
+        // A later round or the next holder deletes the rows.
+        EventLine("tombstones_not_deleted").Field(reason).Emit();
+      }
+    }
+  }
+
 private:
+  static constexpr Milliseconds kTombstoneInterval{ 30000 };
+  /** Each adds a row to check and one to delete, of 100 in a transaction. */
+  static constexpr std::size_t kMaxTombstones = 45;
   static constexpr Milliseconds kArchiveInterval{ 500 };
   static constexpr Milliseconds kDeleteInterval{ 5000 };
   /** The entries of earlier holders are read once the work that a takeover
@@ -134,6 +173,7 @@
   }
 
   Term* term;
+  Tombstones tombstones;
 };
 
 }
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -29,6 +29,10 @@
  * transaction that writes this row, so that loading the domain takes time in
  * proportion to the live jobs. */
 inline const std::string kEndedTable = "ended";
+/** Keys of jobs that were cancelled while the store had no such job. A row here
+ * keeps an admission that is under way, or that the store performs late, from
+ * taking effect. */
+inline const std::string kTombstoneTable = "tombstones";
 /** The term of the domain, and the number of pending jobs. The row that names
  * its holder is in kLeaseTable. */
 inline const std::string kDomainTable = "domain";
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -44,6 +44,8 @@
   CPPUNIT_TEST(KeyRevokedDuringSubmitStoresNothing);
   CPPUNIT_TEST(StaleConfirmationRefusesEveryCall);
   CPPUNIT_TEST(CancelIsVisibleAndStoredForHolder);
+  CPPUNIT_TEST(AdmissionAfterAnsweredCancelStoresNothing);
+  CPPUNIT_TEST(JobAdmittedDuringCancelIsCancelled);
   CPPUNIT_TEST(ArchivedJobIsShownAndNotRunAgain);
   CPPUNIT_TEST(UnknownJobIsReportedAsNoJob);
   CPPUNIT_TEST(UnknownKeyOrQueueIsRefused);
@@ -150,6 +152,35 @@
                    nullptr);
   }
 
+  /** A caller leaves its submit and cancels the job at another host before the
+   * submit is stored. The job once ran although the caller was told that there
+   * is no such job. */
+  void AdmissionAfterAnsweredCancelStoresNothing()
+  {
+    CPPUNIT_ASSERT(JobReply::Kind::kNoJob ==
+                   this->Send(JobCall::Kind::kCancel).kind);
+    const JobReply reply = this->Submit();
+    CPPUNIT_ASSERT(JobReply::Kind::kNotRun == reply.kind);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 },
+                         std::int64_t{ reply.retryAfter.count() });
+    CPPUNIT_ASSERT(this->store.Find(kJobTable, kJob) == nullptr);
+    CPPUNIT_ASSERT(JobReply::Kind::kNoJob ==
+                   this->Send(JobCall::Kind::kShow).kind);
+  }
+
+  /** The admission is stored between the read and the write of the cancel. */
+  void JobAdmittedDuringCancelIsCancelled()
+  {
+    this->store.beforeCommit = [this] { this->Submit(); };
+    CPPUNIT_ASSERT(JobReply::Kind::kCancelled ==
+                   this->Send(JobCall::Kind::kCancel).kind);
+    CPPUNIT_ASSERT(JobState::kCancelled ==
+                   this->Send(JobCall::Kind::kShow).state);
+    CPPUNIT_ASSERT(this->store.Find(kJobTable, CancelRowKey(JobKey(kJob))) !=
+                   nullptr);
+    CPPUNIT_ASSERT(this->store.Find(kTombstoneTable, kJob) == nullptr);
+  }
+
   /** After its end a job has one row, in the table of ended jobs. A submit that
    * arrives again then must find it. */
   void ArchivedJobIsShownAndNotRunAgain()
--- a/tests/scheduling/job_archive_test.cpp
+++ b/tests/scheduling/job_archive_test.cpp
@@ -7,6 +7,7 @@
 #include "contracts/table_row_builder.h"
 #include "contracts/table_transaction.h"
 #include "scheduling/store_rows.h"
+#include "scheduling/tombstones.h"
 #include "tests/scheduling/sample_jobs.h"
 #include "zones/domain_state.h"
 
@@ -40,6 +41,7 @@
   CPPUNIT_TEST(NewerTermDeposesHolder);
   CPPUNIT_TEST(RowReadBeforeArchivingDoesNotRestartJob);
   CPPUNIT_TEST(ArchivedJobIsDeletableOnlyAfterRetention);
+  CPPUNIT_TEST(TombstoneIsDeletableOnlyAfterRetentionSinceItsLastWrite);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -167,6 +169,33 @@
       this->domain.ArchivedPastRetention(deletable, kMany).size());
   }
 
+  void TombstoneIsDeletableOnlyAfterRetentionSinceItsLastWrite()
+  {
+    const auto row = [](std::int64_t aRevision) {
+      return Valid(TableRowBuilder()
+                     .Table(kTombstoneTable)
+                     .Key("j")
+                     .Value("")
+                     .Revision(aRevision));
+    };
+    constexpr Milliseconds kRetention{ 1000 };
+    const Instant start{ Milliseconds(5000) };
+    Tombstones tombstones;
+    tombstones.Update({ row(3) }, start);
+    tombstones.Update({ row(4) }, start + kRetention);
+    CPPUNIT_ASSERT(
+      tombstones.Expired(kRetention, kMany, start + kRetention).empty());
+    tombstones.Update({ row(4) }, start + 2 * kRetention);
+    const std::vector<TableRow> expired =
+      tombstones.Expired(kRetention, kMany, start + 2 * kRetention);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, expired.size());
+    const TableTransaction deletion =
+      Tombstones::Deletion(expired, kTermRevision);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, deletion.Checks().size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 4 }, deletion.Checks()[1].Revision());
+    CPPUNIT_ASSERT(!deletion.Writes()[0].NewValue());
+  }
+
 private:
   void Add(const JobKey& aKey)
   {
