Count a job as started once a worker has confirmed a run

Cause: TaskUnit::StartRun() marked a unit as started at its placement, and a refusal did not take that back. A refusal was also no reason to choose another worker or to wait, so that seven workers refused each job's start in every pass.

On the code before, JobWhoseStartIsRefusedStaysPending (pending 0 instead of 1), JobStartedWithoutAnswerIsPendingUntilItIsReported (0 instead of 1) and RefusingWorkerIsTriedLessAndLessOften failed; all pass now.

Fix: the mark is set by a worker's answer, report or end of a run, and the job's state follows it. A worker that refuses a start gets none for 100 ms, doubling with each further refusal up to 1 s, until it accepts one.

--- a/contracts/job_progress.h
+++ b/contracts/job_progress.h
@@ -18,13 +18,13 @@
 public:
   const QueueName& Queue() const { return this->queue; }
   const JobState& State() const { return this->state; }
-  /** One character per unit: kNeverStarted, kStarted or kDone. Empty until a
-   * unit was started. */
+  /** One character per unit: kNeverStarted, kStarted or kDone. A unit counts as
+   * started once a worker has confirmed a run. Empty until then. */
   const std::string& Marks() const { return this->marks; }
   /** Failed runs by run number. A worker may report the same end again to the
    * next holder, which must not count it twice. */
   const std::vector<FailedRun>& FailedRuns() const { return this->failedRuns; }
-  /** Latest run of each unit that was started and is not done. */
+  /** Latest run of each unit that was placed and is not done. */
   const std::vector<UnitPlacement>& Placements() const
   {
     return this->placements;
--- a/contracts/progress_limits.h
+++ b/contracts/progress_limits.h
@@ -16,7 +16,7 @@
 inline constexpr std::size_t kMaxTransactionBytes = 700'000;
 /** Max rows that one transaction checks, writes and removes. */
 inline constexpr std::size_t kMaxTransactionRows = 100;
-/** Max tasks of a job whose unit was started and is not done. The progress of a
+/** Max tasks of a job whose unit was placed and is not done. The progress of a
  * job lists their workers and checkpoints. */
 inline constexpr std::int64_t kMaxOpenTasks = 4000;
 
--- a/scheduling/order_sender.h
+++ b/scheduling/order_sender.h
@@ -67,7 +67,7 @@
       isAllowed ? this->term->Domain().StartDeadlineMs(aStart, Clock::now())
                 : std::nullopt;
     if (!deadlineMs) {
-      this->term->Domain().StartRefused(aStart);
+      this->term->Domain().StartDropped(aStart);
       co_return;
     }
     const WorkerListing listing =
@@ -101,7 +101,7 @@
         [[fallthrough]];
       case OrderOutcome::kRefused:
         this->term->Metrics().Count(DomainMetrics::Event::kStartRefused);
-        this->term->Domain().StartRefused(aStart);
+        this->term->Domain().StartRefused(aStart, Clock::now());
         break;
       case OrderOutcome::kNotKnown:
         this->term->Metrics().Count(DomainMetrics::Event::kStartUnanswered);
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -22,6 +22,14 @@
   aWorld.Pass({});
 }
 
+std::int64_t
+PendingIn(DomainWorld& aWorld)
+{
+  const auto pending = aWorld.Domain().Pending();
+  const auto found = pending.find(QueueName("queue-1"));
+  return found == pending.end() ? 0 : found->second;
+}
+
 }
 
 /** Scheduling passes under patterns of load and of faults; each test is named
@@ -42,6 +50,9 @@
   CPPUNIT_TEST(LeavingWorkerGetsNoNewTasks);
   CPPUNIT_TEST(WorkerWithFailedPollGetsNoNewTasks);
   CPPUNIT_TEST(RepeatedlyFailingWorkerIsUsedLast);
+  CPPUNIT_TEST(JobWhoseStartIsRefusedStaysPending);
+  CPPUNIT_TEST(JobStartedWithoutAnswerIsPendingUntilItIsReported);
+  CPPUNIT_TEST(RefusingWorkerIsTriedLessAndLessOften);
   CPPUNIT_TEST(TakeoverKeepsRunningTasks);
   CPPUNIT_TEST(HolderAfterTakeoverPreemptsYoungestRun);
   CPPUNIT_TEST(StaleEndNumberIsNotAcknowledgedAfterWorkerRestart);
@@ -270,6 +281,64 @@
     CPPUNIT_ASSERT(world.site.workers.at("w0").Runs().empty());
   }
 
+  /** An unhealthy worker refuses the start. The job once counted as started,
+   * and not as pending, from its placement on. */
+  void JobWhoseStartIsRefusedStaysPending()
+  {
+    DomainWorld world(1, 1);
+    world.site.workers.at("w0").isUnhealthy = true;
+    world.PollAll();
+    world.Submit(
+      MakeAdmitted("job", 1, { Valid(QuarterStep(1)) }), 1000, false);
+    world.Pass({});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, PendingIn(world));
+    world.Advance(100);
+    world.Pass({});
+    CPPUNIT_ASSERT(JobState::kAdmitted == world.StateOf("job"));
+    world.TakeOver();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, PendingIn(world));
+    world.site.workers.at("w0").isUnhealthy = false;
+    CPPUNIT_ASSERT(world.Settle(20'000));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, PendingIn(world));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, world.site.Starts());
+  }
+
+  void JobStartedWithoutAnswerIsPendingUntilItIsReported()
+  {
+    DomainWorld world(1, 1);
+    world.PollAll();
+    world.Submit(
+      MakeAdmitted("job", 1, { Valid(QuarterStep(1)) }), kLongMs, false);
+    world.Pass({ OrderFault::kUnanswered });
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, PendingIn(world));
+    world.Advance(100);
+    world.PollAll();
+    world.Pass({});
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, PendingIn(world));
+    CPPUNIT_ASSERT(JobState::kRunning == world.StateOf("job"));
+  }
+
+  /** A refused start was once repeated in each pass on the same worker. */
+  void RefusingWorkerIsTriedLessAndLessOften()
+  {
+    constexpr std::int64_t kSeconds = 6;
+    constexpr std::int64_t kMaxRefusals = 10;
+    DomainWorld world(1, 1);
+    SiteWorker& worker = world.site.workers.at("w0");
+    worker.isUnhealthy = true;
+    world.Submit(
+      MakeAdmitted("job", 1, { Valid(QuarterStep(1)) }), 1000, false);
+    for (std::int64_t pass = 0; pass < kSeconds * 20; ++pass) {
+      world.PollAll();
+      world.Pass({});
+      world.Advance(50);
+    }
+    CPPUNIT_ASSERT(worker.refusedStarts > kSeconds);
+    CPPUNIT_ASSERT(worker.refusedStarts <= kMaxRefusals);
+    worker.isUnhealthy = false;
+    CPPUNIT_ASSERT(world.Settle(5000));
+  }
+
   void TakeoverKeepsRunningTasks()
   {
     DomainWorld world(4, 2);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -233,14 +233,14 @@
 {
   const auto until = this->domain->StartDeadlineMs(aOrder, this->Now());
   if (!until) {
-    this->domain->StartRefused(aOrder);
+    this->domain->StartDropped(aOrder);
     return;
   }
   const std::string worker = aOrder.Worker().Text();
   if (this->IsReplaced(worker)) {
     if (aFault == OrderFault::kAnswered && this->IsReachable(worker)) {
       this->domain->WorkerReplaced(aOrder.Worker());
-      this->domain->StartRefused(aOrder);
+      this->domain->StartRefused(aOrder, this->Now());
     } else {
       this->domain->StartUnanswered(aOrder, this->Now());
     }
@@ -263,7 +263,7 @@
   } else if (answer == "ok") {
     this->domain->StartAnswered(aOrder, this->Now());
   } else {
-    this->domain->StartRefused(aOrder);
+    this->domain->StartRefused(aOrder, this->Now());
   }
 }
 
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -236,6 +236,9 @@
       worker.name, untilMs, aBody.value("AckCursor", std::int64_t{ 0 }), token);
   }
   json answer = { { "ClockMs", this->simulation.nowMs } };
+  if (outcome == "unhealthy") {
+    return Answer(503, json::object());
+  }
   if (outcome != "ok") {
     answer["Reason"] = outcome;
     return Answer(409, answer);
--- a/tests/stand_ins/site_worker.cpp
+++ b/tests/stand_ins/site_worker.cpp
@@ -28,6 +28,10 @@
                   std::int64_t aToken,
                   std::int64_t aNowMs)
 {
+  if (this->isUnhealthy) {
+    ++this->refusedStarts;
+    return "unhealthy";
+  }
   if (this->RejectsToken(aToken)) {
     return "fence";
   }
--- a/tests/stand_ins/site_worker.h
+++ b/tests/stand_ins/site_worker.h
@@ -27,7 +27,8 @@
   std::string outcome;
 };
 
-/** A worker's answer to an order: "ok", "fence", "old" or "late". */
+/** A worker's answer to an order: "ok", "fence", "old", "late" or "unhealthy".
+ */
 using SiteAnswer = std::string;
 
 /**
@@ -53,6 +54,9 @@
   std::int64_t memoryMb = 131'072;
   std::int64_t accelerators = 8;
   bool isLeaving = false;
+  /** An unhealthy worker refuses all starts. */
+  bool isUnhealthy = false;
+  std::int64_t refusedStarts = 0;
   /** Identifies this incarnation of the worker; a restart changes it. */
   std::int64_t incarnation = 1;
 
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -249,6 +249,7 @@
     aWorker.AddUnstoredEnd(aEnd.Number(), aEnd.Task().Job(), 0);
     return true;
   }
+  this->NoteStarted(*job, *unit, aNow);
   const bool wasOnWorker =
     member != nullptr && member->worker == aWorker.Listing().Name();
   if (wasOnWorker) {
@@ -271,6 +272,21 @@
   return true;
 }
 
+/** A job counts as started from the first confirmed run on: a start may be
+ * refused or lost. */
+void
+DomainState::NoteStarted(TrackedJob& aJob, TaskUnit& aUnit, Instant aNow)
+{
+  if (aUnit.EverStarted()) {
+    return;
+  }
+  aUnit.MarkEverStarted();
+  if (aJob.State() == JobState::kAdmitted) {
+    aJob.UpdateState(aNow);
+    aJob.MarkDirty();
+  }
+}
+
 void
 DomainState::NoteRunTime(const TrackedJob& aJob,
                          const TaskUnit& aUnit,
@@ -296,6 +312,7 @@
     this->FindRun(aRunning.Task(), aRunning.Run());
   if (member != nullptr && member->worker == aWorker.Listing().Name() &&
       member->phase != MemberPhase::kGone) {
+    this->NoteStarted(*job, *unit, aNow);
     if (member->phase != MemberPhase::kRunning) {
       unit->MarkRunning(*member, aNow);
     }
@@ -416,14 +433,27 @@
 void
 DomainState::StartAnswered(const StartOrder& aOrder, Instant aNow)
 {
+  if (TrackedWorker* worker = this->FindWorker(aOrder.Worker())) {
+    worker->NoteAcceptedStart();
+  }
   const auto [job, unit, member] = this->FindRun(aOrder.Task(), aOrder.Run());
   if (member != nullptr && member->phase == MemberPhase::kOrdered) {
+    this->NoteStarted(*job, *unit, aNow);
     unit->MarkRunning(*member, aNow);
   }
 }
 
 void
-DomainState::StartRefused(const StartOrder& aOrder)
+DomainState::StartRefused(const StartOrder& aOrder, Instant aNow)
+{
+  if (TrackedWorker* worker = this->FindWorker(aOrder.Worker())) {
+    worker->NoteRefusedStart(aNow);
+  }
+  this->StartDropped(aOrder);
+}
+
+void
+DomainState::StartDropped(const StartOrder& aOrder)
 {
   const auto [job, unit, member] = this->FindRun(aOrder.Task(), aOrder.Run());
   if (member != nullptr && member->phase == MemberPhase::kOrdered) {
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -85,9 +85,11 @@
    * more. */
   void WorkerReplaced(const WorkerName& aWorker);
   void StartAnswered(const StartOrder& aOrder, Instant aNow);
-  /** Records that the worker refused the start, or that the order was never
-   * sent. */
-  void StartRefused(const StartOrder& aOrder);
+  /** Records that the worker refused the start. The worker gets no start for a
+   * while, longer after each further refusal. */
+  void StartRefused(const StartOrder& aOrder, Instant aNow);
+  /** Records that the start was not sent. */
+  void StartDropped(const StartOrder& aOrder);
   /** Records that the start was not answered: the order may have been carried
    * out, or may be carried out later. */
   void StartUnanswered(const StartOrder& aOrder, Instant aNow);
@@ -128,8 +130,8 @@
   bool IsSweepDue(Instant aNow);
   const QueueRunTimes& RunTimes() const { return this->runTimes; }
 
-  /** Number of accepted jobs of each queue of which no task was ever started.
-   */
+  /** Number of accepted jobs of each queue of which no task was confirmed to
+   * have started. */
   std::map<QueueName, std::int64_t> Pending() const;
 
   static TaskAddress AddressOf(const TrackedJob& aJob,
@@ -145,6 +147,8 @@
                          const TaskUnit& aUnit,
                          TrackedWorker& aWorker);
   bool ApplyEnd(TrackedWorker& aWorker, const EndedTask& aEnd, Instant aNow);
+  /** Records that a worker confirmed a run of the unit. */
+  void NoteStarted(TrackedJob& aJob, TaskUnit& aUnit, Instant aNow);
   void NoteRunTime(const TrackedJob& aJob, const TaskUnit& aUnit, Instant aNow);
   void ApplyRunning(TrackedWorker& aWorker,
                     const RunningTask& aRunning,
--- a/zones/placement_view.cpp
+++ b/zones/placement_view.cpp
@@ -66,7 +66,8 @@
 PlacementView::MayTakeWork(const TrackedWorker& aWorker) const
 {
   return aWorker.Listed() && !aWorker.Listing().IsLeaving() &&
-         !aWorker.IsReplaced() && aWorker.IsIncarnationConfirmed() &&
+         !aWorker.IsReplaced() && !aWorker.IsRefusingStarts(this->now) &&
+         aWorker.IsIncarnationConfirmed() &&
          this->now < aWorker.LastReport() + kMaxReportAge;
 }
 
--- a/zones/task_unit.cpp
+++ b/zones/task_unit.cpp
@@ -93,7 +93,6 @@
 {
   this->run = aRun;
   this->members = std::move(aMembers);
-  this->everStarted = true;
   this->abandonedFor = StopCause::kNone;
   this->startedAt = aNow;
   this->lastProgress = aNow;
--- a/zones/task_unit.h
+++ b/zones/task_unit.h
@@ -39,9 +39,10 @@
    * unit without a limit of attempts. */
   const std::set<std::int64_t>& FailedRuns() const { return this->failedRuns; }
   bool Done() const { return this->done; }
-  /** Whether the unit was started and is not done; its stored progress then
+  /** Whether the unit was placed and is not done; its stored progress then
    * lists the latest run. */
   bool IsOpen() const { return this->run > 0 && !this->done; }
+  /** Whether any run of the unit was confirmed by a worker. */
   bool EverStarted() const { return this->everStarted; }
   /** Whether the run was given up; its members are being stopped. */
   bool Abandoned() const { return this->abandonedFor != StopCause::kNone; }
@@ -94,6 +95,9 @@
     this->abandonedFor = this->Abandoned() ? this->abandonedFor : aCause;
   }
 
+  /** Records that a worker confirmed a run: it accepted the start, listed the
+   * run or reported its end. */
+  void MarkEverStarted() { this->everStarted = true; }
   /** Records that a member is confirmed to run. */
   void MarkRunning(MemberRun& aMember, Instant aNow);
   MemberRun* Find(std::int32_t aIndex, std::int64_t aRun);
--- a/zones/tracked_job.h
+++ b/zones/tracked_job.h
@@ -36,7 +36,8 @@
   /** Whether all steps that the unit's step depends on are done in its
    * occurrence. */
   bool AreDependenciesDone(const TaskUnit& aUnit) const;
-  /** Whether any unit was ever started, by this holder or an earlier one. */
+  /** Whether a run of any unit was confirmed by a worker, to this holder or an
+   * earlier one. */
   bool HasStarted() const;
   /** Number of tasks whose unit is open. */
   std::int64_t OpenTasks() const;
--- a/zones/tracked_worker.cpp
+++ b/zones/tracked_worker.cpp
@@ -23,6 +23,11 @@
 /** The holder polls again within 300 ms of an answer, so an older report means
  * that the holder was stalled. */
 constexpr Milliseconds kMaxAcknowledgeAge{ 1000 };
+/** Time without starts after a refused one. It doubles with each further
+ * refusal, up to the maximum, so that an unhealthy worker is not called in
+ * every pass and a recovered one is used again soon. */
+constexpr Milliseconds kMinStartPause{ 100 };
+constexpr Milliseconds kMaxStartPause{ 1000 };
 /** Time for which a worker with a slow run is penalised. */
 constexpr Milliseconds kSlowPenaltyTime{ 3000 };
 
@@ -174,6 +179,25 @@
   this->lastFailure = aNow;
 }
 
+void
+TrackedWorker::NoteRefusedStart(Instant aNow)
+{
+  // Starts that were sent together are refused together, which counts once.
+  if (this->IsRefusingStarts(aNow)) {
+    return;
+  }
+  this->startPause =
+    std::clamp(this->startPause * 2, kMinStartPause, kMaxStartPause);
+  this->nextStart = aNow + this->startPause;
+}
+
+void
+TrackedWorker::NoteAcceptedStart()
+{
+  this->startPause = Milliseconds(0);
+  this->nextStart = Instant();
+}
+
 std::int32_t
 TrackedWorker::Penalty(Instant aNow) const
 {
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -84,6 +84,11 @@
 
   void NoteSuccess();
   void NoteFailure(const JobKey& aJob, Instant aNow);
+  /** Records that the worker refused a start, or accepted one. */
+  void NoteRefusedStart(Instant aNow);
+  void NoteAcceptedStart();
+  /** Whether the worker gets no start because it refused the latest one. */
+  bool IsRefusingStarts(Instant aNow) const { return aNow < this->nextStart; }
   /** Records that a run of a single task makes progress far too slowly on this
    * worker. */
   void NoteSlow(Instant aNow) { this->slowSeen = aNow; }
@@ -111,6 +116,8 @@
   JobKey lastFailedJob;
   Instant lastFailure{};
   std::optional<Instant> slowSeen;
+  Milliseconds startPause{ 0 };
+  Instant nextStart{};
 };
 
 }
