--- a/tests/harness/site_deployment.cpp
+++ b/tests/harness/site_deployment.cpp
@@ -14,20 +14,30 @@
 constexpr Milliseconds kReadyTimeout{ 20'000 };
 constexpr Milliseconds kJobTimeout{ 40'000 };
 constexpr int kOk = 200;
+constexpr int kAcceleratorsPerMember = 8;
 
 /** The catalog: one queue under the IP address that all daemons listen on, and
  * one team. */
 json
-Configuration(const std::string& aHost)
+Configuration(const std::string& aHost,
+              std::int64_t aVersion,
+              int aFurtherQueues)
 {
   const json queue = {
     { "Name", "r1" },    { "Host", aHost },           { "PathPrefix", "/one/" },
     { "Service", "s1" }, { "Priority", 1 },           { "MaxAttempts", 3 },
     { "Stretch", 3.0 },  { "TargetDurationMs", 1000 }
   };
+  json queues = json::array({ queue });
+  for (int further = 0; further < aFurtherQueues; ++further) {
+    json added = queue;
+    added["Name"] = "further" + std::to_string(further);
+    added["PathPrefix"] = "/further" + std::to_string(further) + "/";
+    queues.push_back(std::move(added));
+  }
   const json team = { { "Name", "t1" }, { "ApiKeys", { "k1" } } };
-  return { { "Version", 1 },
-           { "Routes", json::array({ queue }) },
+  return { { "Version", aVersion },
+           { "Routes", std::move(queues) },
            { "Tenants", json::array({ team }) } };
 }
 
@@ -42,9 +52,7 @@
       "--listen", this->site.Text(), "--workers", std::to_string(aWorkers) },
     this->folder.File("site"));
   WaitForHttp(this->site, "/control/report", kOk, kReadyTimeout);
-  HttpClient client(this->site);
-  client.Post(
-    "/control/config", Configuration(this->site.Ip()).dump(), kCallTimeout);
+  this->Configure(1, 0);
   this->daemons.resize(aHosts);
   for (int host = 0; host < aHosts; ++host) {
     const std::string name = "host" + std::to_string(host);
@@ -126,27 +134,47 @@
   return client.Call(request, kCallTimeout);
 }
 
-int
-SiteDeployment::Submit(std::size_t aHost,
-                       const std::string& aJob,
-                       int aMembers,
-                       int aWorkMs) const
+void
+SiteDeployment::Configure(std::int64_t aVersion, int aFurtherQueues) const
+{
+  this->Control("config",
+                Configuration(this->site.Ip(), aVersion, aFurtherQueues));
+}
+
+void
+SiteDeployment::PrepareJob(const std::string& aJob,
+                           int aMembers,
+                           int aWorkMs) const
 {
-  constexpr int kAccelerators = 8;
   this->Control("step",
                 { { "name", aJob + ".0.0" },
                   { "count", aMembers },
                   { "gang", true },
-                  { "accelerators", kAccelerators },
+                  { "accelerators", kAcceleratorsPerMember },
                   { "work_ms", aWorkMs } });
+}
+
+std::string
+SiteDeployment::JobBody(int aMembers, int aWorkMs)
+{
   const json body = { { "Spec", "text" },
                       { "Steps",
                         { { { "Count", aMembers },
                             { "Gang", true },
-                            { "Gpu", kAccelerators },
+                            { "Gpu", kAcceleratorsPerMember },
                             { "EstimateMs", aWorkMs } } } } };
+  return body.dump();
+}
+
+int
+SiteDeployment::Submit(std::size_t aHost,
+                       const std::string& aJob,
+                       int aMembers,
+                       int aWorkMs) const
+{
+  this->PrepareJob(aJob, aMembers, aWorkMs);
   const auto answer =
-    this->Send(aHost, "POST", PathOf(aJob), "k1", body.dump());
+    this->Send(aHost, "POST", PathOf(aJob), "k1", JobBody(aMembers, aWorkMs));
   return answer ? answer->status : 0;
 }
 
--- a/tests/harness/site_deployment.h
+++ b/tests/harness/site_deployment.h
@@ -35,6 +35,18 @@
    * decoded answer, null without one. */
   nlohmann::json Control(const std::string& aCommand,
                          const nlohmann::json& aBody) const;
+  /** Writes a version of the configuration with aFurtherQueues more queues. */
+  void Configure(std::int64_t aVersion, int aFurtherQueues) const;
+  /** Endpoint at which the host serves callers. */
+  const Endpoint& Callers(std::size_t aHost) const
+  {
+    return this->callers.at(aHost);
+  }
+
+  /** Tells the stand-in the shape of a job of one gang that is submitted next,
+   * as in Submit(). */
+  void PrepareJob(const std::string& aJob, int aMembers, int aWorkMs) const;
+  static std::string JobBody(int aMembers, int aWorkMs);
   /** Submits a job of one gang whose members each work for aWorkMs milliseconds
    * on 8 accelerators; returns the HTTP status, or 0 without an answer. */
   int Submit(std::size_t aHost,
--- a/tests/model/domain_model.cpp
+++ b/tests/model/domain_model.cpp
@@ -291,7 +291,7 @@
 DomainModel::SendStart(const StartOrder& aOrder)
 {
   if (!this->domain.StartDeadlineMs(aOrder, this->events.Now())) {
-    this->domain.StartRefused(aOrder);
+    this->domain.StartDropped(aOrder);
     return;
   }
   this->firstStarts.try_emplace(aOrder.Task().Job(), this->events.Now());
--- a/tests/soak/domain_soak.cpp
+++ b/tests/soak/domain_soak.cpp
@@ -2,6 +2,8 @@
 #include "tests/harness/process.h"
 #include "tests/harness/site_deployment.h"
 #include "tests/harness/wait.h"
+#include "tests/soak/open_callers.h"
+#include "tests/soak/planned_work.h"
 #include "tests/soak/soak_callers.h"
 #include "tests/soak/soak_faults.h"
 
@@ -174,6 +176,48 @@
   return hasPassed;
 }
 
+/** Stops, starts, reloads and configures hosts while callers use connections
+ * that they keep open. Every request that a host has read must be answered, and
+ * every accepted job must be shown and completed. */
+bool
+SoakPlannedWork(unsigned aSeed, std::chrono::seconds aLength)
+{
+  constexpr int kPlannedHosts = 6;
+  constexpr int kOpenCallers = 16;
+  SiteDeployment site(kPlannedHosts, kWorkers);
+  for (std::size_t host = 0; host < site.Hosts(); ++host) {
+    if (!site.WaitUntilReady(host)) {
+      std::cerr << "host" << host << " does not become ready\n";
+      return false;
+    }
+  }
+  OpenCallers callers(site, kOpenCallers, aSeed);
+  PlannedWork work(site, aSeed);
+  work.Run(Clock::now() + aLength);
+  callers.Stop();
+  std::vector<std::string> violations = callers.Violations();
+  violations.insert(
+    violations.end(), work.Violations().begin(), work.Violations().end());
+  std::vector<SoakJob> jobs;
+  for (const std::string& key : callers.AcceptedJobs()) {
+    jobs.push_back(SoakJob{ key, Outcome::kAccepted, Clock::now() });
+  }
+  const bool isSettled = SoakCheck(site, jobs).Holds();
+  for (const std::string& violation : violations) {
+    std::cerr << "violation: " << violation << '\n';
+  }
+  const bool hasPassed = isSettled && violations.empty();
+  std::cerr << "planned work, seed " << aSeed << ": " << work.Stops()
+            << " stops, " << callers.Calls() << " calls, "
+            << callers.Unanswered() << " without an answer, " << jobs.size()
+            << " jobs accepted and not cancelled: "
+            << (hasPassed ? "passed" : "FAILED") << '\n';
+  if (hasPassed) {
+    site.MarkPassed();
+  }
+  return hasPassed;
+}
+
 }
 
 }
@@ -184,9 +228,17 @@
   using namespace sardinecourse;
   int seed = 1;
   int seconds = 12;
+  int isPlanned = 0;
   const poptOption options[] = {
     { "seed", 's', POPT_ARG_INT, &seed, 0, "Seed of the faults", "N" },
     { "seconds", 0, POPT_ARG_INT, &seconds, 0, "Time with faults", "S" },
+    { "planned",
+      0,
+      POPT_ARG_NONE,
+      &isPlanned,
+      0,
+      "Planned work only, with callers on open connections",
+      nullptr },
     POPT_AUTOHELP POPT_TABLEEND
   };
   poptContext context =
@@ -200,5 +252,9 @@
   const std::chrono::seconds length(seconds);
   harness::KillProcessesOnSignals(length + harness::kMaxExtraTime);
   const RcuThread rcuThread;
-  return harness::Soak(static_cast<unsigned>(seed), length) ? 0 : 1;
+  const bool hasPassed =
+    isPlanned != 0
+      ? harness::SoakPlannedWork(static_cast<unsigned>(seed), length)
+      : harness::Soak(static_cast<unsigned>(seed), length);
+  return hasPassed ? 0 : 1;
 }
--- /dev/null
+++ b/tests/soak/open_callers.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/instant.h"
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sardinecourse::harness {
+
+class HttpClient;
+class SiteDeployment;
+
+/** Callers that submit, show and cancel jobs on connections that they keep open
+ * to every host, and check each answer against those before it while only
+ * planned work goes on. */
+class OpenCallers
+{
+public:
+  OpenCallers(SiteDeployment& aSite, int aCallers, unsigned aSeed);
+  ~OpenCallers();
+  OpenCallers(const OpenCallers&) = delete;
+  OpenCallers& operator=(const OpenCallers&) = delete;
+
+  /** Stops the callers and waits for their threads. */
+  void Stop();
+  /** Broken rules so far, a sentence each. */
+  std::vector<std::string> Violations() const;
+  /** Keys of the accepted jobs that nobody has cancelled. */
+  std::vector<std::string> AcceptedJobs() const;
+  std::int64_t Calls() const { return this->calls; }
+  /** Calls whose connection ended without an answer. */
+  std::int64_t Unanswered() const { return this->unanswered; }
+
+private:
+  struct AcceptedJob
+  {
+    Instant acceptedAt;
+    bool isCancelled = false;
+  };
+  /** The jobs and connections of one caller. */
+  struct Caller
+  {
+    std::string name;
+    std::mt19937 random;
+    std::vector<std::unique_ptr<HttpClient>> connections;
+    std::map<std::string, AcceptedJob> jobs;
+    int nextJob = 0;
+  };
+
+  void Run(Caller& aCaller);
+  void SubmitJob(Caller& aCaller);
+  void ShowJob(Caller& aCaller);
+  void CancelJob(Caller& aCaller);
+  /** Status of the answer, or 0 without one; aBody receives the answer's. */
+  int Send(Caller& aCaller,
+           const std::string& aMethod,
+           const std::string& aPath,
+           std::string& aBody);
+  void AddViolation(const std::string& aViolation);
+
+  SiteDeployment* site;
+  std::atomic<bool> isStopping = false;
+  std::atomic<std::int64_t> calls = 0;
+  std::atomic<std::int64_t> unanswered = 0;
+  mutable std::mutex mutex;
+  std::vector<std::string> violations;
+  std::vector<std::unique_ptr<Caller>> callers;
+  std::vector<std::thread> threads;
+};
+
+}
