Take a job's running state back instead of writing each confirmed start

Cause: since a job counts as started only once a worker has confirmed a run, each job's progress was written once more, at its first confirmed run. A holder at the large site's size has little processor time to spare.

Change: a job is stored as running with its placement, as before, and becomes an admitted one again when no run was confirmed and none can be running (its starts were refused, not sent, or proved lost). Pending jobs still follow the confirmed runs alone, so callers see no difference there.

--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -249,7 +249,7 @@
     aWorker.AddUnstoredEnd(aEnd.Number(), aEnd.Task().Job(), 0);
     return true;
   }
-  this->NoteStarted(*job, *unit, aNow);
+  unit->MarkEverStarted();
   const bool wasOnWorker =
     member != nullptr && member->worker == aWorker.Listing().Name();
   if (wasOnWorker) {
@@ -272,21 +272,6 @@
   return true;
 }
 
-/** A job counts as started from the first confirmed run on: a start may be
- * refused or lost. */
-void
-DomainState::NoteStarted(TrackedJob& aJob, TaskUnit& aUnit, Instant aNow)
-{
-  if (aUnit.EverStarted()) {
-    return;
-  }
-  aUnit.MarkEverStarted();
-  if (aJob.State() == JobState::kAdmitted) {
-    aJob.UpdateState(aNow);
-    aJob.MarkDirty();
-  }
-}
-
 void
 DomainState::NoteRunTime(const TrackedJob& aJob,
                          const TaskUnit& aUnit,
@@ -312,7 +297,7 @@
     this->FindRun(aRunning.Task(), aRunning.Run());
   if (member != nullptr && member->worker == aWorker.Listing().Name() &&
       member->phase != MemberPhase::kGone) {
-    this->NoteStarted(*job, *unit, aNow);
+    unit->MarkEverStarted();
     if (member->phase != MemberPhase::kRunning) {
       unit->MarkRunning(*member, aNow);
     }
@@ -438,7 +423,7 @@
   }
   const auto [job, unit, member] = this->FindRun(aOrder.Task(), aOrder.Run());
   if (member != nullptr && member->phase == MemberPhase::kOrdered) {
-    this->NoteStarted(*job, *unit, aNow);
+    unit->MarkEverStarted();
     unit->MarkRunning(*member, aNow);
   }
 }
@@ -537,6 +522,7 @@
     worker->Remove(this->AddressOf(aJob, aUnit, aIndex),
                    aJob.StepOf(aUnit).Need());
   }
+  aJob.RevertUnstarted();
 }
 
 std::vector<StopOrder>
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -147,8 +147,6 @@
                          const TaskUnit& aUnit,
                          TrackedWorker& aWorker);
   bool ApplyEnd(TrackedWorker& aWorker, const EndedTask& aEnd, Instant aNow);
-  /** Records that a worker confirmed a run of the unit. */
-  void NoteStarted(TrackedJob& aJob, TaskUnit& aUnit, Instant aNow);
   void NoteRunTime(const TrackedJob& aJob, const TaskUnit& aUnit, Instant aNow);
   void ApplyRunning(TrackedWorker& aWorker,
                     const RunningTask& aRunning,
--- a/zones/tracked_job.cpp
+++ b/zones/tracked_job.cpp
@@ -208,11 +208,21 @@
     this->SetFinal(JobState::kFailed, aNow);
   } else if (std::all_of(this->units.begin(), this->units.end(), isDone)) {
     this->SetFinal(JobState::kFinished, aNow);
-  } else if (this->state == JobState::kAdmitted && this->HasStarted()) {
+  } else if (this->state == JobState::kAdmitted && !this->Idle()) {
     this->state = JobState::kRunning;
   }
 }
 
+void
+TrackedJob::RevertUnstarted()
+{
+  if (this->state == JobState::kRunning && this->Idle() &&
+      !this->HasStarted()) {
+    this->state = JobState::kAdmitted;
+    this->MarkDirty();
+  }
+}
+
 void
 TrackedJob::Cancel(Instant aNow)
 {
--- a/zones/tracked_job.h
+++ b/zones/tracked_job.h
@@ -48,6 +48,9 @@
   JobProgress Progress() const;
   /** Recomputes the state from the units; called after each start and end. */
   void UpdateState(Instant aNow);
+  /** Makes a running job an admitted one again if no run was confirmed and none
+   * can be running any more, since its starts were refused or lost. */
+  void RevertUnstarted();
   void Cancel(Instant aNow);
 
   /** Records that the progress to store has changed. */
