--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -1,4 +1,5 @@
 #include "contracts/domain_timing_builder.h"
+#include "contracts/progress_limits.h"
 #include "tests/scheduling/domain_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -53,6 +54,7 @@
   CPPUNIT_TEST(JobWhoseStartIsRefusedStaysPending);
   CPPUNIT_TEST(JobStartedWithoutAnswerIsPendingUntilItIsReported);
   CPPUNIT_TEST(RefusingWorkerIsTriedLessAndLessOften);
+  CPPUNIT_TEST(JobOpensNoMoreTasksThanItsProgressMayList);
   CPPUNIT_TEST(TakeoverKeepsRunningTasks);
   CPPUNIT_TEST(HolderAfterTakeoverPreemptsYoungestRun);
   CPPUNIT_TEST(StaleEndNumberIsNotAcknowledgedAfterWorkerRestart);
@@ -339,6 +341,28 @@
     CPPUNIT_ASSERT(world.Settle(5000));
   }
 
+  /** Progress lists every open task, and a transaction that stores it has a
+   * limit. The other tasks start as open ones are done. */
+  void JobOpensNoMoreTasksThanItsProgressMayList()
+  {
+    constexpr std::int32_t kTasks = kMaxOpenTasks + 500;
+    DomainWorld world(10, 10);
+    world.PollAll();
+    world.Submit(MakeAdmitted("wide",
+                              2,
+                              { Valid(JobStepBuilder()
+                                        .Count(kTasks)
+                                        .Need(MakeResources(100, 64, 0))
+                                        .Estimate(Milliseconds(500))) }),
+                 500,
+                 false);
+    world.Pass({});
+    CPPUNIT_ASSERT_EQUAL(kMaxOpenTasks, world.site.Starts());
+    CPPUNIT_ASSERT(world.Settle(20'000));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ kTasks }, world.site.Starts());
+    CPPUNIT_ASSERT(world.site.Violations().empty());
+  }
+
   void TakeoverKeepsRunningTasks()
   {
     DomainWorld world(4, 2);
