Answer a refused cancel of an existing job as not known

Cause: a cancellation that the store refuses for its contents was answered "no such job" also when the job exists, as the answer was meant for keys that the store can never hold. Read in the diff, not seen in a run; a full row of progress could grow over the limit by the longer name of the state.

Change: the answer is limited to unknown jobs; otherwise the call ends as not known. Rows leave room for the state's name (49,000 bytes).

Measured: RefusedCancelOfExistingJobIsNotAnsweredAsNoJob failed before and passes now, with the other 76 tests of scheduling.

--- a/contracts/progress_limits.h
+++ b/contracts/progress_limits.h
@@ -9,8 +9,10 @@
 class Reason;
 
 /** Max bytes of an encoded row. The store limits a value to 65,536 bytes, and
- * its base64 form, which is longer by a third, is kept within that too. */
-inline constexpr std::size_t kMaxRowBytes = 49'152;
+ * its base64 form, which is longer by a third, is kept within that too. The
+ * rest is room for a cancellation, which writes the first row again with
+ * another state. */
+inline constexpr std::size_t kMaxRowBytes = 49'000;
 /** Max bytes of the encoded rows of one transaction, of which the store accepts
  * 1 MB in base64. */
 inline constexpr std::size_t kMaxTransactionBytes = 700'000;
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -434,7 +434,7 @@
         if (answer.Outcome() == WriteOutcome::kCommitted) {
           co_return MakeReply(JobReply::Kind::kCancelled);
         }
-        if (answer.IsInvalid()) {
+        if (answer.IsInvalid() && isUnknown) {
           // No job with this key can be admitted either.
           co_return Refuse(JobReply::Kind::kNoJob, "no such job");
         }
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(CancelIsVisibleAndStoredForHolder);
   CPPUNIT_TEST(AdmissionAfterAnsweredCancelStoresNothing);
   CPPUNIT_TEST(JobAdmittedDuringCancelIsCancelled);
+  CPPUNIT_TEST(RefusedCancelOfExistingJobIsNotAnsweredAsNoJob);
   CPPUNIT_TEST(ArchivedJobIsShownAndNotRunAgain);
   CPPUNIT_TEST(UnknownJobIsReportedAsNoJob);
   CPPUNIT_TEST(UnknownKeyOrQueueIsRefused);
@@ -181,6 +182,21 @@
     CPPUNIT_ASSERT(this->store.Find(kTombstoneTable, kJob) == nullptr);
   }
 
+  /** The store refuses the cancellation for its size, and the job runs on. */
+  void RefusedCancelOfExistingJobIsNotAnsweredAsNoJob()
+  {
+    this->store.Put(
+      kProgressTable,
+      kJob,
+      EncodeJobProgress(Valid(JobProgressBuilder()
+                                .Queue(QueueName("r1"))
+                                .State(JobState::kRunning)
+                                .Marks(std::string(60'000, 's')))));
+    CPPUNIT_ASSERT(JobReply::Kind::kNotKnown ==
+                   this->Send(JobCall::Kind::kCancel).kind);
+    CPPUNIT_ASSERT(this->store.refusals > 0);
+  }
+
   /** After its end a job has one row, in the table of ended jobs. A submit that
    * arrives again then must find it. */
   void ArchivedJobIsShownAndNotRunAgain()
