Decode the only row of a job's progress once

Cause: DecodeProgressRows() decoded the first row to learn the number of rows, and again to join them. Most jobs have one row, so that a takeover decoded the progress of each job twice.

Change: progress of one row is returned as decoded; such a row holds no divided elements. Behaviour stays; the tests of codecs (27) and scheduling (77) pass. The time of a takeover was not measured.

--- a/codecs/job_progress_json.cpp
+++ b/codecs/job_progress_json.cpp
@@ -327,8 +327,8 @@
 {
   const std::optional<JobProgress> first =
     DecodeJobProgress(aRows.empty() ? std::string() : aRows.front(), aReason);
-  if (!first) {
-    return std::nullopt;
+  if (!first || first->Rows() == 1) {
+    return first;
   }
   if (static_cast<std::size_t>(first->Rows()) > aRows.size()) {
     aReason = Reason(Step::kDecode, "", "a row of the job progress is missing");
