--- a/codecs/job_progress_json.cpp
+++ b/codecs/job_progress_json.cpp
@@ -325,7 +325,7 @@
 std::optional<JobProgress>
 DecodeProgressRows(const std::vector<std::string>& aRows, Reason& aReason)
 {
-  const std::optional<JobProgress> first =
+  std::optional<JobProgress> first =
     DecodeJobProgress(aRows.empty() ? std::string() : aRows.front(), aReason);
   if (!first || first->Rows() == 1) {
     return first;
