Report the runs that are given up because their worker is silent

Change: event runs_given_up (worker, runs, silent_ms, term), histogram sardinecourse_given_up_after_seconds, and the tasks and the time left of the lease in look_failed.

--- a/codecs/metrics_text.cpp
+++ b/codecs/metrics_text.cpp
@@ -24,7 +24,8 @@
   std::uint64_t sum = 0;
   for (std::size_t bound = 0; bound <= aBounds.size(); ++bound) {
     sum += aBucketCount(static_cast<int>(bound) - 1);
-    this->text << aName << "_bucket{" << aLabels << ",le=\"";
+    this->text << aName << "_bucket{" << aLabels << (aLabels.empty() ? "" : ",")
+               << "le=\"";
     if (bound == aBounds.size()) {
       this->text << "+Inf";
     } else {
--- a/scheduling/decision_events.cpp
+++ b/scheduling/decision_events.cpp
@@ -4,6 +4,7 @@
 #include "contracts/event_names.h"
 #include "core/reason.h"
 #include "scheduling/event_line.h"
+#include "zones/given_up_runs.h"
 #include "zones/placed_unit.h"
 #include "zones/preempted_unit.h"
 #include "zones/start_order.h"
@@ -66,6 +67,17 @@
     .Emit();
 }
 
+void
+LogGivenUp(const GivenUpRuns& aGivenUp, std::int64_t aTerm)
+{
+  EventLine("runs_given_up")
+    .Field("worker", aGivenUp.worker.Text())
+    .Field("runs", aGivenUp.runs)
+    .Field("silent_ms", aGivenUp.silent.count())
+    .Field("term", aTerm)
+    .Emit();
+}
+
 void
 LogEnd(const WorkerName& aWorker, const EndedTask& aEnd)
 {
--- a/scheduling/decision_events.h
+++ b/scheduling/decision_events.h
@@ -13,6 +13,7 @@
 class StopOrder;
 struct PlacedUnit;
 struct PreemptedUnit;
+struct GivenUpRuns;
 
 /** Event lines for a holder's decisions on units, for the outcomes of its
  * orders and for ended runs; aTerm is the holder's fencing token. */
@@ -23,6 +24,8 @@
 void
 LogPreempted(const PreemptedUnit& aPreempted, std::int64_t aTerm);
 void
+LogGivenUp(const GivenUpRuns& aGivenUp, std::int64_t aTerm);
+void
 LogEnd(const WorkerName& aWorker, const EndedTask& aEnd);
 void
 LogStart(const StartOrder& aStart,
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -154,6 +154,10 @@
       this->Metrics().Count(DomainMetrics::Event::kPreemption);
       LogPreempted(preempted, this->Number());
     }
+    for (const GivenUpRuns& givenUp : aDecisions.givenUp) {
+      this->Metrics().RecordGivenUp(givenUp.runs, givenUp.silent);
+      LogGivenUp(givenUp, this->Number());
+    }
   }
 
   DomainPolicy policy;
--- a/scheduling/domain_metrics.cpp
+++ b/scheduling/domain_metrics.cpp
@@ -51,12 +51,20 @@
     DurationAxis(kBoundsSeconds.begin(), kBoundsSeconds.end()));
 }
 
+auto
+MakeSilences()
+{
+  return bh::make_histogram_with(
+    Counters(), DurationAxis(kBoundsSeconds.begin(), kBoundsSeconds.end()));
+}
+
 }
 
 struct DomainMetrics::Series
 {
   decltype(MakeCalls()) calls = MakeCalls();
   decltype(MakeWaits()) waits = MakeWaits();
+  decltype(MakeSilences()) silences = MakeSilences();
   std::array<std::atomic<std::uint64_t>, kEvents.size()> events{};
 };
 
@@ -98,6 +106,15 @@
                       seconds.count());
 }
 
+void
+DomainMetrics::RecordGivenUp(std::int64_t aRuns, Milliseconds aSilent)
+{
+  const std::chrono::duration<double> seconds = aSilent;
+  for (std::int64_t run = 0; run < aRuns; ++run) {
+    this->series->silences(seconds.count());
+  }
+}
+
 void
 DomainMetrics::Count(Event aEvent)
 {
@@ -143,6 +160,11 @@
                    return this->series->waits.at(priority, aBucket).load();
                  });
   }
+  constexpr std::string_view kSilences = "sardinecourse_given_up_after_seconds";
+  text.Type(kSilences, "histogram");
+  text.Buckets(kSilences, "", kBoundsSeconds, [&](int aBucket) {
+    return this->series->silences.at(aBucket).load();
+  });
   return text.Text();
 }
 
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -46,6 +46,9 @@
                  Clock::duration aDuration);
   /** Records how long a unit waited for its placement. */
   void RecordPlacementWait(std::int32_t aPriority, Milliseconds aWait);
+  /** Records runs that were given up after their worker was silent for a time.
+   */
+  void RecordGivenUp(std::int64_t aRuns, Milliseconds aSilent);
   void Count(Event aEvent);
   std::uint64_t CountOf(Event aEvent) const;
 
--- a/scheduling/worker_poller.h
+++ b/scheduling/worker_poller.h
@@ -113,6 +113,8 @@
       this->term->Metrics().Count(DomainMetrics::Event::kPollFailed);
       EventLine("look_failed")
         .Field("worker", aWorker.Text())
+        .Field("tasks", static_cast<std::int64_t>(worker->Tasks().size()))
+        .Field("lease_left_ms", worker->LeaseLeft(Clock::now()).count())
         .Field("term", this->term->Number())
         .Field(reason)
         .Emit();
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(UnreportedEndBeforeWorkerCrashIsRerun);
   CPPUNIT_TEST(EndBeyondTruncatedReportIsNotRerun);
   CPPUNIT_TEST(TaskOfUnreachableWorkerIsRerunElsewhere);
+  CPPUNIT_TEST(RunsOfSilentWorkerAreReportedWhenGivenUp);
   CPPUNIT_TEST(TaskOfReplacedWorkerIsRerunElsewhereAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -555,6 +556,33 @@
     CPPUNIT_ASSERT(JobState::kFinished == world.StateOf("task"));
   }
 
+  // Failure: nothing shows for how long a task was without a run because its
+  // worker was silent.
+  void RunsOfSilentWorkerAreReportedWhenGivenUp()
+  {
+    DomainWorld world(1, 1);
+    world.PollAll();
+    world.PollAll();
+    world.Submit(
+      MakeAdmitted("task", 1, { Valid(QuarterStep(1)) }), kLongMs, false);
+    world.Pass({});
+    world.cutOff.insert("w0");
+    constexpr std::int64_t kPassIntervalMs = 100;
+    constexpr std::int64_t kBoundMs = 2 * SiteWorker::kMaxLeaseMs;
+    for (std::int64_t passed = 0; passed < kBoundMs && world.givenUp.empty();
+         passed += kPassIntervalMs) {
+      world.PollAll();
+      world.Pass({});
+      world.Advance(kPassIntervalMs);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, world.givenUp.size());
+    const GivenUpRuns& givenUp = world.givenUp.front();
+    CPPUNIT_ASSERT(WorkerName("w0") == givenUp.worker);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, givenUp.runs);
+    CPPUNIT_ASSERT(givenUp.silent >= Milliseconds(1000));
+    CPPUNIT_ASSERT(givenUp.silent <= Milliseconds(kBoundMs));
+  }
+
   void TaskOfReplacedWorkerIsRerunElsewhereAtOnce()
   {
     DomainWorld world(2, 2);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -204,6 +204,8 @@
   };
   DomainPass pass(*this->domain, this->reservations, this->Now(), WallTime());
   const PassDecisions decisions = pass.Run();
+  this->givenUp.insert(
+    this->givenUp.end(), decisions.givenUp.begin(), decisions.givenUp.end());
   this->unsentStarts.insert(
     this->unsentStarts.end(), decisions.starts.begin(), decisions.starts.end());
   this->Store();
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -3,6 +3,7 @@
 #include "tests/scheduling/sample_jobs.h"
 #include "tests/stand_ins/site_simulation.h"
 #include "zones/domain_state.h"
+#include "zones/given_up_runs.h"
 #include "zones/pass_decisions.h"
 #include "zones/preemption_reservations.h"
 
@@ -39,6 +40,8 @@
   bool isStoreDown = false;
   bool isHolderStalled = false;
   std::set<std::string> cutOff;
+  /** Runs that the passes gave up because of their worker's lease. */
+  std::vector<GivenUpRuns> givenUp;
 
   void Submit(const AdmittedJob& aJob, std::int64_t aWorkMs, bool aFails);
   /** Stores a cancellation by the caller; the holder finds it during its next
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -65,7 +65,7 @@
 {
   this->reservations->DropExpired(this->now);
   if (this->domain->IsSweepDue(this->now)) {
-    RunMonitor(*this->domain, this->now).Run();
+    this->decisions.givenUp = RunMonitor(*this->domain, this->now).Run();
   }
   this->StopUnneeded();
   for (const WaitingGroup& group : this->WaitingGroups()) {
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -159,6 +159,15 @@
   return aNow < this->holderSince + longest;
 }
 
+Instant
+DomainState::SilentSince(const WorkerName& aWorker) const
+{
+  const auto found = this->workers.find(aWorker);
+  const bool hasAnswered =
+    found != this->workers.end() && found->second.HasAnswered();
+  return hasAnswered ? found->second.LastReport() : this->holderSince;
+}
+
 TaskAddress
 DomainState::AddressOf(const TrackedJob& aJob,
                        const TaskUnit& aUnit,
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -64,6 +64,9 @@
   /** Whether a run may still be on the worker, including one that an earlier
    * holder started. */
   bool MayStillRun(const WorkerName& aWorker, Instant aNow) const;
+  /** When the worker last answered this holder, or the start of the term when
+   * it never did. */
+  Instant SilentSince(const WorkerName& aWorker) const;
 
   /** Applies the answer to a poll that was sent at aSent; returns the ended
    * runs that were not reported before. */
--- a/zones/pass_decisions.h
+++ b/zones/pass_decisions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "zones/given_up_runs.h"
 #include "zones/placed_unit.h"
 #include "zones/preempted_unit.h"
 #include "zones/start_order.h"
@@ -17,6 +18,7 @@
   std::vector<StopOrder> stops;
   std::vector<PlacedUnit> placed;
   std::vector<PreemptedUnit> preempted;
+  std::vector<GivenUpRuns> givenUp;
 
   auto operator<=>(const PassDecisions&) const = default;
 };
--- a/zones/run_monitor.cpp
+++ b/zones/run_monitor.cpp
@@ -1,6 +1,7 @@
 #include "zones/run_monitor.h"
 
 #include "zones/domain_state.h"
+#include "zones/given_up_runs.h"
 #include "zones/work_size.h"
 
 #include <algorithm>
@@ -31,16 +32,18 @@
 {
 }
 
-void
+std::vector<GivenUpRuns>
 RunMonitor::Run()
 {
-  this->DropExpiredRuns();
+  std::vector<GivenUpRuns> givenUp = this->DropExpiredRuns();
   this->CheckProgress();
+  return givenUp;
 }
 
-void
+std::vector<GivenUpRuns>
 RunMonitor::DropExpiredRuns()
 {
+  std::map<WorkerName, std::int64_t> runs;
   std::map<WorkerName, bool> mayRun;
   const auto isLeaseExpired = [this, &mayRun](const WorkerName& aWorker) {
     const auto [position, isNew] = mayRun.try_emplace(aWorker, true);
@@ -58,11 +61,19 @@
             isLeaseExpired(member.worker)) {
           this->domain->MarkMemberGone(job, unit, index);
           unit.Abandon(StopCause::kLeaseExpired);
+          ++runs[member.worker];
         }
         ++index;
       }
     }
   }
+  std::vector<GivenUpRuns> givenUp;
+  for (const auto& [worker, count] : runs) {
+    const auto silent = std::chrono::duration_cast<Milliseconds>(
+      this->now - this->domain->SilentSince(worker));
+    givenUp.push_back(GivenUpRuns{ worker, count, silent });
+  }
+  return givenUp;
 }
 
 /** Penalises workers on which a run takes far longer than is typical, and gives
--- a/zones/tracked_worker.cpp
+++ b/zones/tracked_worker.cpp
@@ -90,15 +90,21 @@
   this->grantedUntilMs = std::max(this->grantedUntilMs, aUntilMs);
 }
 
-bool
-TrackedWorker::IsLeaseExpired(Instant aNow) const
+Milliseconds
+TrackedWorker::LeaseLeft(Instant aNow) const
 {
   const auto left = static_cast<double>(this->grantedUntilMs - this->clockMs);
   const auto maxTimeLeft =
     Milliseconds(static_cast<std::int64_t>(left / kSlowestClock) + 1);
+  return std::chrono::duration_cast<Milliseconds>(
+    this->lastReport + maxTimeLeft + kLeaseMargin - aNow);
+}
+
+bool
+TrackedWorker::IsLeaseExpired(Instant aNow) const
+{
   return this->isReplaced ||
-         (this->hasAnswered &&
-          aNow > this->lastReport + maxTimeLeft + kLeaseMargin);
+         (this->hasAnswered && this->LeaseLeft(aNow) < Milliseconds(0));
 }
 
 void
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -41,6 +41,9 @@
 
   /** Records a lease that was ordered; aUntilMs is on the worker's clock. */
   void RecordLease(std::int64_t aUntilMs);
+  /** Time until every lease that was ordered has certainly expired; negative
+   * afterwards. Meaningless before the worker's first answer. */
+  Milliseconds LeaseLeft(Instant aNow) const;
   /** Whether every lease that was ordered has certainly expired, or the worker
    * was replaced. */
   bool IsLeaseExpired(Instant aNow) const;
