Grant leases that end in time for a task to run again

Cause: the runs of a worker that is gone count as running until its lease has expired. Nothing related this sum to the time by which a task must run again (14 s on both). In the log a worker leaves at 48.01 s and its tasks are not started until 58.01 s. Change: the holder grants a lease that is derived from restart_s (the platform's finish_s) and outlasts a change of the holder: 6 s with 14 s, if the platform allows it. All waits for earlier leases use the same length.

--- a/codecs/domain_host_settings_yaml.cpp
+++ b/codecs/domain_host_settings_yaml.cpp
@@ -22,6 +22,7 @@
 constexpr double kMaxCoreShare = 1024.0;
 /** One hour. A longer time is refused as a probable mistake in the unit. */
 constexpr std::int64_t kMaxDurationMs = 3'600'000;
+constexpr double kMinSeconds = 0.001;
 
 Milliseconds
 ReadDuration(YamlReader& aReader,
@@ -32,6 +33,17 @@
     aReader.Integer(aKey, aDefault.count(), 1, kMaxDurationMs));
 }
 
+Milliseconds
+ReadSeconds(YamlReader& aReader, const std::string& aKey, Milliseconds aDefault)
+{
+  using Seconds = std::chrono::duration<double>;
+  return std::chrono::duration_cast<Milliseconds>(
+    Seconds(aReader.Number(aKey,
+                           Seconds(aDefault).count(),
+                           kMinSeconds,
+                           Seconds(Milliseconds(kMaxDurationMs)).count())));
+}
+
 std::optional<DomainTiming>
 ReadTiming(YamlReader& aReader, Reason& aReason)
 {
@@ -42,6 +54,8 @@
       ReadDuration(aTiming, "holder_lease_ms", defaults.HolderLease()));
     timing.WorkerLease(
       ReadDuration(aTiming, "worker_lease_ms", defaults.WorkerLease()));
+    timing.RestartTime(
+      ReadSeconds(aTiming, "restart_s", defaults.RestartTime()));
     timing.StopTime(ReadDuration(aTiming, "stop_ms", defaults.StopTime()));
     timing.ReclaimTime(
       ReadDuration(aTiming, "reclaim_ms", defaults.ReclaimTime()));
--- a/contracts/domain_timing.h
+++ b/contracts/domain_timing.h
@@ -19,6 +19,12 @@
   Milliseconds HolderLease() const { return this->holderLease; }
   /** Max lease that a worker grants to the runs on it. */
   Milliseconds WorkerLease() const { return this->workerLease; }
+  /** Max time until a task whose worker and holder were lost together runs
+   * again. */
+  Milliseconds RestartTime() const { return this->restartTime; }
+  /** Lease that a holder grants to the runs on a worker: it outlasts a change
+   * of the holder, and ends early enough for RestartTime(). */
+  Milliseconds GrantedLease() const;
   /** Max time that a worker takes to stop a run. */
   Milliseconds StopTime() const { return this->stopTime; }
   /** Max time until all tasks of the first step of a guaranteed job run. */
@@ -37,6 +43,7 @@
 
   Milliseconds holderLease{ 3000 };
   Milliseconds workerLease{ 6000 };
+  Milliseconds restartTime{ 14000 };
   Milliseconds stopTime{ 900 };
   Milliseconds reclaimTime{ 3000 };
   Milliseconds revokeTime{ 5000 };
--- a/contracts/domain_timing_builder.cpp
+++ b/contracts/domain_timing_builder.cpp
@@ -20,6 +20,13 @@
   return *this;
 }
 
+DomainTimingBuilder&
+DomainTimingBuilder::RestartTime(Milliseconds aRestartTime)
+{
+  this->value.restartTime = aRestartTime;
+  return *this;
+}
+
 DomainTimingBuilder&
 DomainTimingBuilder::StopTime(Milliseconds aStopTime)
 {
@@ -60,11 +67,13 @@
 {
   if (this->value.holderLease.count() <= 0 ||
       this->value.workerLease.count() <= 0 ||
+      this->value.restartTime.count() <= 0 ||
       this->value.reclaimTime.count() <= 0 ||
       this->value.revokeTime.count() <= 0) {
-    aReason = Reason(Step::kSettings,
-                     "",
-                     "leases, reclaim time and revoke time must be positive");
+    aReason =
+      Reason(Step::kSettings,
+             "",
+             "leases, restart, reclaim and revoke time must be positive");
     return std::nullopt;
   }
   return this->value;
--- a/contracts/domain_timing_builder.h
+++ b/contracts/domain_timing_builder.h
@@ -15,6 +15,7 @@
 public:
   DomainTimingBuilder& HolderLease(Milliseconds aHolderLease);
   DomainTimingBuilder& WorkerLease(Milliseconds aWorkerLease);
+  DomainTimingBuilder& RestartTime(Milliseconds aRestartTime);
   DomainTimingBuilder& StopTime(Milliseconds aStopTime);
   DomainTimingBuilder& ReclaimTime(Milliseconds aReclaimTime);
   DomainTimingBuilder& RevokeTime(Milliseconds aRevokeTime);
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -178,13 +178,15 @@
     CPPUNIT_ASSERT(IsDomainHostSettings(kHost));
     CPPUNIT_ASSERT(!IsDomainHostSettings("name: a\n"));
     const auto host = DecodeDomainHostSettings(
-      kHost + "core_share: 0.25\ntiming: {worker_lease_ms: 10000}\n"
+      kHost + "core_share: 0.25\n"
+              "timing: {worker_lease_ms: 10000, restart_s: 14.5}\n"
               "policy: {headroom: 0.15}\n",
       "f",
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, host->ShareOfCore(), 0.0);
     CPPUNIT_ASSERT(Milliseconds(10000) == host->Timing().WorkerLease());
+    CPPUNIT_ASSERT(Milliseconds(14500) == host->Timing().RestartTime());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.15, host->Policy().Headroom(), 0.0);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
       DomainPolicy().BatchHeadroom(), host->Policy().BatchHeadroom(), 0.0);
@@ -194,7 +196,8 @@
                                      "unknown: 1\n",
                                      "policy: {headroom: 2}\n",
                                      "policy: {most_waste: .nan}\n",
-                                     "timing: {stop_ms: 0}\n" }) {
+                                     "timing: {stop_ms: 0}\n",
+                                     "timing: {restart_s: 0}\n" }) {
       CPPUNIT_ASSERT_MESSAGE(
         invalidLine,
         !DecodeDomainHostSettings(kHost + invalidLine, "f", reason));
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -23,6 +23,45 @@
   aWorld.Pass({});
 }
 
+/** Polls all workers and runs a pass every 100 ms for aMs milliseconds. */
+void
+PollAndPass(DomainWorld& aWorld, std::int64_t aMs)
+{
+  constexpr std::int64_t kIntervalMs = 100;
+  for (std::int64_t passed = 0; passed < aMs; passed += kIntervalMs) {
+    aWorld.PollAll();
+    aWorld.Pass({});
+    aWorld.Advance(kIntervalMs);
+  }
+}
+
+/** Starts a long task and polls its worker for a second; returns the name of
+ * the worker. */
+std::string
+StartTaskAndPoll(DomainWorld& aWorld)
+{
+  aWorld.PollAll();
+  aWorld.PollAll();
+  aWorld.Submit(
+    MakeAdmitted("task", 1, { Valid(QuarterStep(1)) }), kLongMs, false);
+  PollAndPass(aWorld, 1000);
+  return aWorld.site.workers.at("w0").Runs().empty() ? "w1" : "w0";
+}
+
+/** Time in milliseconds until the site has counted aStarts starts. */
+std::int64_t
+TimeUntilStart(DomainWorld& aWorld, std::int64_t aStarts)
+{
+  constexpr std::int64_t kIntervalMs = 100;
+  constexpr std::int64_t kLimitMs = 60'000;
+  std::int64_t waitedMs = 0;
+  while (aWorld.site.Starts() < aStarts && waitedMs < kLimitMs) {
+    PollAndPass(aWorld, kIntervalMs);
+    waitedMs += kIntervalMs;
+  }
+  return waitedMs;
+}
+
 std::int64_t
 PendingIn(DomainWorld& aWorld)
 {
@@ -38,6 +77,7 @@
 class DomainPassTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(DomainPassTest);
+  CPPUNIT_TEST(TaskOfWorkerAndHolderLostTogetherRunsWithinRestartTime);
   CPPUNIT_TEST(SmallTasksArePackedSoThatGangsFindEmptyWorkers);
   CPPUNIT_TEST(GangThatDoesNotFitStartsNoMember);
   CPPUNIT_TEST(GangPreferringOneRackWaitsForIt);
@@ -556,6 +596,28 @@
     CPPUNIT_ASSERT(JobState::kFinished == world.StateOf("task"));
   }
 
+  // Failure: the task of a worker that is gone waits for a lease of 10 s, and
+  // 4 s more when the holder is lost as well, with most of the room free.
+  void TaskOfWorkerAndHolderLostTogetherRunsWithinRestartTime()
+  {
+    constexpr Milliseconds kRestartTime{ 14'000 };
+    DomainWorld world(2,
+                      2,
+                      Valid(DomainTimingBuilder()
+                              .HolderLease(Milliseconds(2000))
+                              .WorkerLease(Milliseconds(10'000))
+                              .RestartTime(kRestartTime)));
+    const std::string lost = StartTaskAndPoll(world);
+    world.RemoveWorker(lost);
+    // The next holder takes over when the lease of the lost one has expired.
+    constexpr std::int64_t kTakeoverMs = 3000;
+    world.Advance(kTakeoverMs);
+    world.TakeOver();
+    const std::int64_t waitedMs = kTakeoverMs + TimeUntilStart(world, 2);
+    CPPUNIT_ASSERT_LESSEQUAL(std::int64_t{ kRestartTime.count() }, waitedMs);
+    CPPUNIT_ASSERT(world.site.Violations().empty());
+  }
+
   // Failure: nothing shows for how long a task was without a run because its
   // worker was silent.
   void RunsOfSilentWorkerAreReportedWhenGivenUp()
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -1,6 +1,5 @@
 #include "tests/scheduling/domain_world.h"
 
-#include "contracts/domain_timing_builder.h"
 #include "contracts/ended_task_builder.h"
 #include "contracts/job_progress_builder.h"
 #include "contracts/running_task_builder.h"
@@ -85,12 +84,16 @@
 
 }
 
-DomainWorld::DomainWorld(std::int32_t aWorkers, std::int32_t aWorkersPerRack)
+DomainWorld::DomainWorld(std::int32_t aWorkers,
+                         std::int32_t aWorkersPerRack,
+                         DomainTiming aTiming)
+  : timing(aTiming)
 {
   for (std::int32_t worker = 0; worker < aWorkers; ++worker) {
     SiteWorker made;
     made.name = "w" + std::to_string(worker);
     made.rack = "r" + std::to_string(worker / aWorkersPerRack);
+    made.maxLeaseMs = this->timing.WorkerLease().count();
     this->site.workers[made.name] = made;
   }
   this->TakeOver();
@@ -149,9 +152,7 @@
   ++this->term;
   this->unsentStarts.clear();
   this->reservations = PreemptionReservations();
-  this->domain.emplace(Valid(DomainTimingBuilder().WorkerLease(
-                         Milliseconds(SiteWorker::kMaxLeaseMs))),
-                       this->Now());
+  this->domain.emplace(this->timing, this->Now());
   for (const auto& [name, worker] : this->site.workers) {
     this->domain->ListWorker(MakeListing(name, worker.rack), this->Now());
   }
@@ -352,6 +353,25 @@
   }
 }
 
+void
+DomainWorld::DrainWorker(const std::string& aWorker)
+{
+  SiteWorker& worker = this->site.workers.at(aWorker);
+  worker.isLeaving = true;
+  this->domain->ListWorker(MakeListing(aWorker, worker.rack, true),
+                           this->Now());
+}
+
+void
+DomainWorld::RemoveWorker(const std::string& aWorker)
+{
+  this->cutOff.insert(aWorker);
+  this->site.workers.erase(aWorker);
+  this->DropDelayedOrders(aWorker);
+  this->domain->PollFailed(WorkerName(aWorker));
+  this->domain->UnlistWorker(WorkerName(aWorker));
+}
+
 void
 DomainWorld::ReplaceWorker(const std::string& aWorker)
 {
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/domain_timing.h"
 #include "tests/scheduling/sample_jobs.h"
 #include "tests/stand_ins/site_simulation.h"
 #include "zones/domain_state.h"
@@ -34,7 +35,9 @@
 class DomainWorld
 {
 public:
-  DomainWorld(std::int32_t aWorkers, std::int32_t aWorkersPerRack);
+  DomainWorld(std::int32_t aWorkers,
+              std::int32_t aWorkersPerRack,
+              DomainTiming aTiming = DomainTiming());
 
   SiteSimulation site;
   bool isStoreDown = false;
@@ -56,6 +59,11 @@
   void Poll(const std::string& aWorker, OrderFault aFault);
   void PollAll();
   void RestartWorker(const std::string& aWorker);
+  /** Lists the worker as leaving; it goes on until RemoveWorker(). */
+  void DrainWorker(const std::string& aWorker);
+  /** Ends the worker for good; nothing answers at its address any more, and it
+   * is not listed to the next holder. */
+  void RemoveWorker(const std::string& aWorker);
   /** Replaces the worker: a new incarnation answers at its address under
    * another name, and the former name stays listed for a while. */
   void ReplaceWorker(const std::string& aWorker);
@@ -95,6 +103,7 @@
   }
   void DropDelayedOrders(const std::string& aWorker);
 
+  DomainTiming timing;
   std::map<std::string, Stored> store;
   std::int64_t revision = 0;
   std::int64_t term = 0;
--- a/tests/scheduling/sample_jobs.h
+++ b/tests/scheduling/sample_jobs.h
@@ -77,7 +77,9 @@
 
 /** A worker of 64 cores, 128 GB and 8 accelerators. */
 inline WorkerListing
-MakeListing(const std::string& aName, const std::string& aRack)
+MakeListing(const std::string& aName,
+            const std::string& aRack,
+            bool aIsLeaving = false)
 {
   Reason reason;
   return Valid(WorkerListingBuilder()
@@ -86,7 +88,8 @@
                  .Address(*Endpoint::Parse("127.0.0.1:1", reason))
                  .Rack(RackName(aRack))
                  .Labels({ "a", aRack })
-                 .Capacity(MakeResources(64'000, 131'072, 8)));
+                 .Capacity(MakeResources(64'000, 131'072, 8))
+                 .IsLeaving(aIsLeaving));
 }
 
 }
--- a/tests/stand_ins/site_worker.cpp
+++ b/tests/stand_ins/site_worker.cpp
@@ -18,7 +18,7 @@
 SiteWorker::Extend(std::int64_t aUntilMs, std::int64_t aNowMs)
 {
   this->leaseUntilMs =
-    std::max(this->leaseUntilMs, std::min(aUntilMs, aNowMs + kMaxLeaseMs));
+    std::max(this->leaseUntilMs, std::min(aUntilMs, aNowMs + this->maxLeaseMs));
 }
 
 SiteAnswer
--- a/tests/stand_ins/site_worker.h
+++ b/tests/stand_ins/site_worker.h
@@ -40,7 +40,6 @@
 class SiteWorker
 {
 public:
-  /** Longer leases are cut to this. */
   static constexpr std::int64_t kMaxLeaseMs = 6000;
   /** Max ends in one report. */
   static constexpr std::size_t kMaxListedEnds = 500;
@@ -53,6 +52,8 @@
   std::int64_t milliCores = 64'000;
   std::int64_t memoryMb = 131'072;
   std::int64_t accelerators = 8;
+  /** Longer leases are cut to this. */
+  std::int64_t maxLeaseMs = kMaxLeaseMs;
   bool isLeaving = false;
   /** An unhealthy worker refuses all starts. */
   bool isUnhealthy = false;
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -155,7 +155,7 @@
     return !found->second.IsLeaseExpired(aNow);
   }
   const Milliseconds longest =
-    this->timing.WorkerLease() + DomainTiming::kRenewalGrace + kLeaseMargin;
+    this->timing.GrantedLease() + DomainTiming::kRenewalGrace + kLeaseMargin;
   return aNow < this->holderSince + longest;
 }
 
@@ -228,7 +228,8 @@
     worker->RecordAnswer(aReport.Incarnation(), aReport.ClockMs(), aReceived);
   if (isFirst || isRestarted) {
     // An earlier holder may have granted the longest lease.
-    worker->RecordLease(aReport.ClockMs() + this->timing.WorkerLease().count());
+    worker->RecordLease(aReport.ClockMs() +
+                        this->timing.GrantedLease().count());
   }
   std::vector<EndedTask> newEnds;
   for (const EndedTask& end : aReport.Ended()) {
@@ -386,7 +387,7 @@
     return 0;
   }
   const std::int64_t until =
-    worker->ClockAt(aNow) + this->timing.WorkerLease().count();
+    worker->ClockAt(aNow) + this->timing.GrantedLease().count();
   worker->RecordLease(until);
   return until;
 }
