Grant short leases to workers that are leaving

Cause: a worker exits without a report, and its lease was renewed in full until then, although the registry had announced the exit. The announcement was recorded (TrackedWorker::LeavingSince()) and used by nobody. Change: a worker that is leaving is granted 2.5 s at a time and polled every 300 ms, so that its runs survive a poll that is not answered and are started elsewhere within 3 s of its exit.

--- a/contracts/domain_timing.cpp
+++ b/contracts/domain_timing.cpp
@@ -9,9 +9,17 @@
 /** Time from the end of the holder's lease until the next holder has loaded the
  * domain and polled its workers. */
 constexpr Milliseconds kTakeoverTime{ 2000 };
+/** A poll that is not answered is repeated within 1.5 s (see WorkerPoller). */
+constexpr Milliseconds kMaxLeavingLease{ 2500 };
 
 }
 
+Milliseconds
+DomainTiming::LeavingLease() const
+{
+  return std::min(this->GrantedLease(), kMaxLeavingLease);
+}
+
 Milliseconds
 DomainTiming::GrantedLease() const
 {
--- a/contracts/domain_timing.h
+++ b/contracts/domain_timing.h
@@ -25,6 +25,9 @@
   /** Lease that a holder grants to the runs on a worker: it outlasts a change
    * of the holder, and ends early enough for RestartTime(). */
   Milliseconds GrantedLease() const;
+  /** The same for a worker that is leaving, whose exit is not reported. It
+   * outlasts a lost poll. */
+  Milliseconds LeavingLease() const;
   /** Max time that a worker takes to stop a run. */
   Milliseconds StopTime() const { return this->stopTime; }
   /** Max time until all tasks of the first step of a guaranteed job run. */
--- a/scheduling/worker_poller.h
+++ b/scheduling/worker_poller.h
@@ -39,6 +39,9 @@
   /** Longest wait of a poll on a busy worker; the end of a run is reported at
    * once. */
   static constexpr Milliseconds kPollWait{ 700 };
+  /** The same on a worker that is leaving; its lease is short and must survive
+   * a poll that is not answered. */
+  static constexpr Milliseconds kLeavingPollWait{ 300 };
   /** Longest wait of a poll on an idle worker. No run ends there, so it is
    * polled less often. */
   static constexpr Milliseconds kIdlePollWait{ 1500 };
@@ -86,6 +89,14 @@
     this->polled.erase(aWorker);
   }
 
+  static Milliseconds WaitOn(const TrackedWorker& aWorker)
+  {
+    if (aWorker.Tasks().empty()) {
+      return kIdlePollWait;
+    }
+    return aWorker.LeavingSince() ? kLeavingPollWait : kPollWait;
+  }
+
   boost::asio::awaitable<bool> PollOnce(WorkerName aWorker,
                                         std::int64_t aAcknowledged)
   {
@@ -97,7 +108,7 @@
     request.acknowledged = aAcknowledged;
     request.leaseUntilMs = this->term->Domain().GrantLease(aWorker, sent);
     if (request.leaseUntilMs > 0) {
-      request.wait = worker->Tasks().empty() ? kIdlePollWait : kPollWait;
+      request.wait = WaitOn(*worker);
     }
     Reason reason;
     const PollAnswer answer =
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -78,6 +78,7 @@
 {
   CPPUNIT_TEST_SUITE(DomainPassTest);
   CPPUNIT_TEST(TaskOfWorkerAndHolderLostTogetherRunsWithinRestartTime);
+  CPPUNIT_TEST(TaskOfWorkerThatLeftRunsAgainWithinThreeSeconds);
   CPPUNIT_TEST(SmallTasksArePackedSoThatGangsFindEmptyWorkers);
   CPPUNIT_TEST(GangThatDoesNotFitStartsNoMember);
   CPPUNIT_TEST(GangPreferringOneRackWaitsForIt);
@@ -618,6 +619,22 @@
     CPPUNIT_ASSERT(world.site.Violations().empty());
   }
 
+  // Failure: the task of a worker that drained and left waits for the rest of a
+  // lease that was renewed until the worker's exit.
+  void TaskOfWorkerThatLeftRunsAgainWithinThreeSeconds()
+  {
+    DomainWorld world(2,
+                      2,
+                      Valid(DomainTimingBuilder()
+                              .WorkerLease(Milliseconds(10'000))
+                              .RestartTime(Milliseconds(14'000))));
+    const std::string leaving = StartTaskAndPoll(world);
+    world.DrainWorker(leaving);
+    PollAndPass(world, 9000);
+    world.RemoveWorker(leaving);
+    CPPUNIT_ASSERT_LESSEQUAL(std::int64_t{ 3000 }, TimeUntilStart(world, 2));
+  }
+
   // Failure: nothing shows for how long a task was without a run because its
   // worker was silent.
   void RunsOfSilentWorkerAreReportedWhenGivenUp()
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -386,8 +386,10 @@
   if (worker == nullptr || !worker->IsIncarnationConfirmed()) {
     return 0;
   }
-  const std::int64_t until =
-    worker->ClockAt(aNow) + this->timing.GrantedLease().count();
+  const Milliseconds lease = worker->LeavingSince()
+                               ? this->timing.LeavingLease()
+                               : this->timing.GrantedLease();
+  const std::int64_t until = worker->ClockAt(aNow) + lease.count();
   worker->RecordLease(until);
   return until;
 }
