Repeat the release of the domain when the store refuses it

A host that stops released the domain in one attempt: only a conflict with a renewal of its own was retried, although the comment promised more. When the store was busy (503) or the call was lost, the domain stayed with the stopped host until its lease and the clock margin had passed, and the next holder found the workers' grace time to wait for as well. For that time no task was started.

Release() now repeats an attempt that was refused or not answered while 1 s has not passed since the stop, with the retry pause of the loop between. An attempt whose answer was lost, and that has taken effect, shows as a conflict with a row that this process does not hold any more, and ends the repetition.

RefusedReleaseIsRepeated and ReleaseWithLostAnswerIsRepeated failed before (the owner's row was not released) and pass now.

--- a/scheduling/lease_loop.h
+++ b/scheduling/lease_loop.h
@@ -100,34 +100,20 @@
   }
 
   /** Stops the loop and releases the lease in the store, so that another host
-   * can take over at once. Retries a few times; a failure is logged. */
+   * can take over at once. Attempts that fail are logged, and repeated for
+   * kReleaseTime. */
   boost::asio::awaitable<void> Release()
   {
+    const Instant until = Clock::now() + kReleaseTime;
     this->isStopping = true;
     if (!this->isHolder) {
       co_return;
     }
     this->Lose("released");
-    for (int attempt = 0; attempt < kReleaseAttempts; ++attempt) {
-      const std::optional<DomainOwner> row = this->lease.RenewalRow(true);
-      const std::int64_t revision = this->lease.Revision();
-      Reason reason;
-      const CommitAnswer answer = co_await this->Write(*row, revision, reason);
-      if (answer.Outcome() == WriteOutcome::kCommitted) {
-        EventLine("domain_released").Field("term", row->Term()).Emit();
-        co_return;
-      }
-      // A renewal in flight may have changed the row.
-      const TableRow* current = this->OwnerRow(answer.Current());
-      const auto owner = current == nullptr
-                           ? std::nullopt
-                           : DecodeDomainOwner(current->Value(), reason);
-      if (!owner || !this->lease.IsSameHolder(*owner)) {
-        EventLine("domain_release_failed").Field(reason).Emit();
-        co_return;
-      }
-      this->SetLease(
-        this->lease.RowObserved(owner, current->Revision(), Clock::now()));
+    bool isSettled = co_await this->WriteRelease();
+    while (!isSettled && Clock::now() + kRetryPause < until) {
+      co_await Pause(*this->context, kRetryPause);
+      isSettled = co_await this->WriteRelease();
     }
   }
 
@@ -151,7 +137,8 @@
    * survives a lost renewal. */
   static constexpr int kRenewalsPerLease = 4;
   static constexpr Milliseconds kRetryPause{ 100 };
-  static constexpr int kReleaseAttempts = 3;
+  /** Time in which a release that fails is repeated. */
+  static constexpr Milliseconds kReleaseTime{ 1000 };
   static constexpr Milliseconds kMaxWait{ 1000 };
   /** Upper bound of the takeover delay that is derived from the host's name. */
   static constexpr Milliseconds kMaxHostDelay{ 40 };
@@ -178,6 +165,40 @@
     co_return answer;
   }
 
+  /** Writes the released row; true when no further attempt is needed. */
+  boost::asio::awaitable<bool> WriteRelease()
+  {
+    const std::optional<DomainOwner> row = this->lease.RenewalRow(true);
+    const std::int64_t revision = this->lease.Revision();
+    Reason reason;
+    const CommitAnswer answer = co_await this->Write(*row, revision, reason);
+    if (answer.Outcome() == WriteOutcome::kCommitted) {
+      EventLine("domain_released").Field("term", row->Term()).Emit();
+      co_return true;
+    }
+    if (answer.Outcome() != WriteOutcome::kConflict) {
+      EventLine("domain_release_failed")
+        .Field("term", row->Term())
+        .Field(reason)
+        .Emit();
+      co_return false;
+    }
+    const TableRow* current = this->OwnerRow(answer.Current());
+    const auto owner = current == nullptr
+                         ? std::nullopt
+                         : DecodeDomainOwner(current->Value(), reason);
+    // A renewal in flight may have changed the row.
+    if (owner && this->lease.IsSameHolder(*owner)) {
+      this->SetLease(
+        this->lease.RowObserved(owner, current->Revision(), Clock::now()));
+      co_return false;
+    }
+    // The row names another process, or an attempt whose answer was lost has
+    // released it.
+    EventLine("domain_not_held").Field("term", row->Term()).Emit();
+    co_return true;
+  }
+
   boost::asio::awaitable<void> Renew()
   {
     Reason reason;
--- a/tests/scheduling/lease_loop_test.cpp
+++ b/tests/scheduling/lease_loop_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <exception>
 #include <memory>
 
 namespace sardinecourse {
@@ -54,6 +55,8 @@
   CPPUNIT_TEST(HostWithLargestShareTakesOver);
   CPPUNIT_TEST(OneHostTakesOverFromLostHolder);
   CPPUNIT_TEST(ReleaseEndsExclusivityBeforeTheHolderLearnsOfIt);
+  CPPUNIT_TEST(RefusedReleaseIsRepeated);
+  CPPUNIT_TEST(ReleaseWithLostAnswerIsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -124,7 +127,59 @@
     CPPUNIT_ASSERT(loop.ExclusiveUntil() < Clock::now());
   }
 
+  /** A host whose release was refused by a busy store kept the domain until its
+   * lease expired. */
+  void RefusedReleaseIsRepeated()
+  {
+    this->ReleaseWithFault(StoreFault::kNotWritten);
+  }
+
+  /** The release was lost on its way, and no other attempt followed. */
+  void ReleaseWithLostAnswerIsRepeated()
+  {
+    this->ReleaseWithFault(StoreFault::kLostUnapplied);
+  }
+
 private:
+  void Release(const std::unique_ptr<Loop>& aLoop)
+  {
+    boost::asio::co_spawn(
+      this->context, aLoop->Release(), [this](const std::exception_ptr&) {
+        this->isReleased = true;
+      });
+  }
+
+  void RunUntilReleased()
+  {
+    const Instant until = Clock::now() + kMaxRun;
+    while (!this->isReleased && Clock::now() < until) {
+      this->context.restart();
+      this->context.run_for(kFeedWait);
+    }
+    CPPUNIT_ASSERT(this->isReleased);
+  }
+
+  /** Whether the store shows that any host may take the domain over. */
+  bool IsDomainFree() const
+  {
+    const TableRow* row = this->store.Find(kLeaseTable, kOwnerRow);
+    Reason reason;
+    const auto owner =
+      row == nullptr ? std::nullopt : DecodeDomainOwner(row->Value(), reason);
+    return !owner || owner->IsReleased();
+  }
+
+  void ReleaseWithFault(StoreFault aFault)
+  {
+    this->Add("a", 1.0);
+    this->RunUntilGains(1);
+    this->store.faults = { aFault };
+    this->Release(this->loops.back());
+    this->RunUntilReleased();
+    CPPUNIT_ASSERT(this->IsDomainFree());
+    CPPUNIT_ASSERT_EQUAL(1, this->losses);
+  }
+
   void Add(const std::string& aHost, double aShare)
   {
     this->loops.push_back(std::make_unique<Loop>(
@@ -160,6 +215,7 @@
   std::vector<std::unique_ptr<Loop>> loops;
   int gains = 0;
   int losses = 0;
+  bool isReleased = false;
   std::int64_t lastTerm = 0;
   std::int64_t lastRevision = 0;
   std::string lastHolder;
