Release the domain when a stop arrives during a takeover

Release() returned at once when this process was not the holder. A takeover whose transaction was in flight at that moment was then committed: the domain belonged to a host that renews nothing any more, and the other hosts waited for its lease to expire. The same held for a takeover whose answer was lost. A holder that is stopped while other hosts are stopped as well, as in a series of planned stops, makes its successors take over at just that time.

Release() now awaits a takeover in flight and releases the domain after it. A takeover that is committed during a stop is not reported to the holder's thread. When its outcome is not known, the released row is written on condition of the revision before the takeover, so that a late takeover can not take effect, or, after the conflict, over the takeover's row.

StopDuringTakeoverReleasesDomain, StopDuringTakeoverWithLostAnswerReleasesDomain and StopDuringTakeoverThatIsNotStoredReleasesDomain failed before and pass now.

--- a/scheduling/lease_loop.h
+++ b/scheduling/lease_loop.h
@@ -15,6 +15,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <functional>
 #include <string>
@@ -56,6 +59,7 @@
     , lease(aSelf, std::move(aProcess), aLength)
     , feed(aStore, kLeaseTable, kOwnerRow, AfterKey(kOwnerRow))
     , listener(std::move(aListener))
+    , takeoverEnd(aContext, boost::asio::steady_timer::time_point::max())
   {
     // The delay keeps hosts from trying at the same instant and lets those
     // with a large share of a core try first, since the holder's work grows
@@ -100,12 +104,17 @@
   }
 
   /** Stops the loop and releases the lease in the store, so that another host
-   * can take over at once. Attempts that fail are logged, and repeated for
-   * kReleaseTime. */
+   * can take over at once. A takeover in flight is awaited first. Attempts that
+   * fail are repeated for kReleaseTime; a failure is logged. */
   boost::asio::awaitable<void> Release()
   {
     const Instant until = Clock::now() + kReleaseTime;
     this->isStopping = true;
+    if (this->isTakingOver) {
+      boost::system::error_code ignored;
+      co_await this->takeoverEnd.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
     if (!this->isHolder) {
       co_return;
     }
@@ -187,7 +196,7 @@
     const auto owner = current == nullptr
                          ? std::nullopt
                          : DecodeDomainOwner(current->Value(), reason);
-    // A renewal in flight may have changed the row.
+    // A renewal or a takeover in flight may have changed the row.
     if (owner && this->lease.IsSameHolder(*owner)) {
       this->SetLease(
         this->lease.RowObserved(owner, current->Revision(), Clock::now()));
@@ -374,6 +383,14 @@
   }
 
   boost::asio::awaitable<void> TakeOver()
+  {
+    this->isTakingOver = true;
+    co_await this->WriteTakeover();
+    this->isTakingOver = false;
+    this->takeoverEnd.cancel();
+  }
+
+  boost::asio::awaitable<void> WriteTakeover()
   {
     Reason reason;
     std::int64_t lastTerm = 0;
@@ -407,8 +424,17 @@
     if (isCommitted) {
       this->isHolder = true;
       this->SetLease(this->lease.RowWritten(*row, answer.Revision(), sent));
-      boost::asio::co_spawn(
-        *this->context, this->StoreTerm(row->Term()), boost::asio::detached);
+      if (!this->isStopping) {
+        boost::asio::co_spawn(
+          *this->context, this->StoreTerm(row->Term()), boost::asio::detached);
+      }
+      co_return;
+    }
+    if (this->isStopping && answer.Outcome() == WriteOutcome::kNotKnown) {
+      // The row may name this process, or will do so, until Release() writes
+      // it.
+      this->isHolder = true;
+      this->lease = this->lease.RowWritten(*row, revision, Instant());
       co_return;
     }
     // Another process was first, or the outcome is not known. If the row names
@@ -446,6 +472,9 @@
   std::atomic<Instant> exclusiveUntil{ Instant() };
   RowFeed<Store> feed;
   Listener listener;
+  /** Never expires; cancelled at the end of a takeover. */
+  boost::asio::steady_timer takeoverEnd;
+  bool isTakingOver = false;
   bool isHolder = false;
   bool isStoreLost = false;
   bool isStopping = false;
--- a/tests/scheduling/lease_loop_test.cpp
+++ b/tests/scheduling/lease_loop_test.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <exception>
+#include <functional>
 #include <memory>
+#include <utility>
 
 namespace sardinecourse {
 
@@ -18,15 +20,31 @@
 constexpr Milliseconds kFeedWait{ 5 };
 
 /** A store whose feed waits before it answers, so that several hosts can follow
- * it on one thread. */
+ * it on one thread. The answer of a transaction can be delayed. */
 class WaitingRowStore : public FakeRowStore
 {
 public:
+  /** Called once, between the next transaction and its answer. */
+  std::function<void()> beforeAnswer;
+
   explicit WaitingRowStore(boost::asio::io_context& aContext)
     : context(&aContext)
   {
   }
 
+  boost::asio::awaitable<CommitAnswer> Commit(
+    const TableTransaction& aTransaction,
+    Reason& aReason)
+  {
+    CommitAnswer answer =
+      co_await this->FakeRowStore::Commit(aTransaction, aReason);
+    if (const auto hook = std::exchange(this->beforeAnswer, nullptr)) {
+      hook();
+      co_await Pause(*this->context, kFeedWait);
+    }
+    co_return answer;
+  }
+
   boost::asio::awaitable<std::optional<RowPage>> Changes(std::string aTable,
                                                          std::int64_t aAfter,
                                                          Milliseconds aWait,
@@ -55,6 +73,9 @@
   CPPUNIT_TEST(HostWithLargestShareTakesOver);
   CPPUNIT_TEST(OneHostTakesOverFromLostHolder);
   CPPUNIT_TEST(ReleaseEndsExclusivityBeforeTheHolderLearnsOfIt);
+  CPPUNIT_TEST(StopDuringTakeoverReleasesDomain);
+  CPPUNIT_TEST(StopDuringTakeoverWithLostAnswerReleasesDomain);
+  CPPUNIT_TEST(StopDuringTakeoverThatIsNotStoredReleasesDomain);
   CPPUNIT_TEST(RefusedReleaseIsRepeated);
   CPPUNIT_TEST(ReleaseWithLostAnswerIsRepeated);
   CPPUNIT_TEST_SUITE_END();
@@ -127,6 +148,27 @@
     CPPUNIT_ASSERT(loop.ExclusiveUntil() < Clock::now());
   }
 
+  /** A host that was told to stop while its takeover was in flight kept the
+   * domain until its lease expired, without any holder. */
+  void StopDuringTakeoverReleasesDomain()
+  {
+    this->StopDuringTakeover(StoreFault::kNone);
+  }
+
+  /** The takeover took effect, but the host does not know it when it stops. */
+  void StopDuringTakeoverWithLostAnswerReleasesDomain()
+  {
+    this->StopDuringTakeover(StoreFault::kLostApplied);
+  }
+
+  /** The takeover can still take effect after the host has stopped, unless the
+   * host writes the row once more. */
+  void StopDuringTakeoverThatIsNotStoredReleasesDomain()
+  {
+    this->StopDuringTakeover(StoreFault::kLostUnapplied);
+    CPPUNIT_ASSERT(this->store.Find(kLeaseTable, kOwnerRow) != nullptr);
+  }
+
   /** A host whose release was refused by a busy store kept the domain until its
    * lease expired. */
   void RefusedReleaseIsRepeated()
@@ -169,6 +211,19 @@
     return !owner || owner->IsReleased();
   }
 
+  void StopDuringTakeover(StoreFault aFault)
+  {
+    this->store.faults = { aFault };
+    this->store.beforeAnswer = [this] { this->Release(this->loops.back()); };
+    this->Add("a", 1.0);
+    this->RunUntilReleased();
+    this->context.restart();
+    this->context.run_for(kLease / 4);
+    CPPUNIT_ASSERT(this->IsDomainFree());
+    CPPUNIT_ASSERT_EQUAL(0, this->gains);
+    CPPUNIT_ASSERT(this->loops.back()->ExclusiveUntil() < Clock::now());
+  }
+
   void ReleaseWithFault(StoreFault aFault)
   {
     this->Add("a", 1.0);
