End the term, not the process, at an exception in a pass

The loops of a term end the term when they throw. The scheduling pass runs in the handler of a timer instead, whose exceptions left the event loop of the control thread and ended the process, with every request that its other threads were answering.

The handler now treats an exception as the loops do. No run has shown such an exception; the path was found by reading. ExceptionInPassEndsTermOnly failed before (the exception left io_context::run) and passes now.

--- a/scheduling/domain_term.h
+++ b/scheduling/domain_term.h
@@ -122,7 +122,8 @@
     this->runPass = std::move(aRunPass);
   }
 
-  /** Schedules a pass after a short delay; requests until then share it. */
+  /** Schedules a pass after a short delay; requests until then share it. An
+   * exception in the pass ends the term. */
   void RequestPass()
   {
     if (!this->isActive || std::exchange(this->isPassDue, true)) {
@@ -132,10 +133,7 @@
     this->passTimer.async_wait(
       [self = this->shared_from_this()](const boost::system::error_code&) {
         if (self->isActive) {
-          self->isPassDue = false;
-          const Instant startedAt = Clock::now();
-          self->runPass();
-          self->lastPassDuration = Clock::now() - startedAt;
+          self->RunPass();
         }
       });
   }
@@ -189,6 +187,18 @@
    * time to the answers of workers and to the store. */
   static constexpr int kPassDelayFactor = 2;
 
+  void RunPass()
+  {
+    this->isPassDue = false;
+    const Instant startedAt = Clock::now();
+    try {
+      this->runPass();
+    } catch (...) {
+      this->LoopFailed(std::current_exception());
+    }
+    this->lastPassDuration = Clock::now() - startedAt;
+  }
+
   void LoopFailed(const std::exception_ptr& aError)
   {
     std::string message = "unknown exception";
--- a/tests/scheduling/domain_term_test.cpp
+++ b/tests/scheduling/domain_term_test.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST_SUITE(DomainTermTest);
   CPPUNIT_TEST(HolderSuspendedPastItsLeaseStartsNothing);
   CPPUNIT_TEST(ExceptionInLoopEndsTermOnly);
+  CPPUNIT_TEST(ExceptionInPassEndsTermOnly);
   CPPUNIT_TEST(OddWorkerEntriesAreSkipped);
   CPPUNIT_TEST(JobArchivedBetweenReadsIsNotLoaded);
   CPPUNIT_TEST_SUITE_END();
@@ -92,6 +93,18 @@
     CPPUNIT_ASSERT_EQUAL(1, this->depositions);
   }
 
+  /** An exception in a scheduling pass ended the process, and with it the
+   * callers' requests. */
+  void ExceptionInPassEndsTermOnly()
+  {
+    const auto term = this->MakeTerm();
+    term->SetPassHandler([] { throw std::runtime_error("unexpected"); });
+    term->RequestPass();
+    this->Run();
+    CPPUNIT_ASSERT(!term->IsActive());
+    CPPUNIT_ASSERT_EQUAL(1, this->depositions);
+  }
+
   /** Another writer's entry must neither end the process nor hide the other
    * workers. */
   void OddWorkerEntriesAreSkipped()
