Suspend hosts in the planned soak, and let hosts serve on several threads

The fault soak freezes hosts but takes every call without an answer as not known, so nothing checked what a caller of a host that goes on receives, nor a freeze right after a stop began. All its hosts served on one thread.

A call is given up only after 4 s and 20 s of pauses.

--- a/tests/harness/site_deployment.cpp
+++ b/tests/harness/site_deployment.cpp
@@ -12,6 +12,7 @@
 
 constexpr Milliseconds kCallTimeout{ 4000 };
 constexpr Milliseconds kReadyTimeout{ 20'000 };
+constexpr Milliseconds kProbeTimeout{ 200 };
 constexpr Milliseconds kJobTimeout{ 40'000 };
 constexpr int kOk = 200;
 constexpr int kAcceleratorsPerMember = 8;
@@ -43,7 +44,7 @@
 
 }
 
-SiteDeployment::SiteDeployment(int aHosts, int aWorkers)
+SiteDeployment::SiteDeployment(int aHosts, int aWorkers, int aThreads)
   : site(FreeEndpoint())
 {
   this->platform.emplace(
@@ -67,7 +68,8 @@
         "\ndata_centre: zone\ncallers: " + this->callers.back().Text() +
         "\nreadiness: " + this->readiness.back().Text() +
         "\nmetrics: " + FreeEndpoint().Text() +
-        "\nstore: " + this->storeLinks.back()->Address().Text() + "\n"));
+        "\nstore: " + this->storeLinks.back()->Address().Text() +
+        "\nthreads: " + std::to_string(aThreads) + "\n"));
     this->Start(host);
   }
 }
@@ -87,6 +89,14 @@
   return WaitForHttp(this->readiness[aHost], "/api/ready", kOk, kReadyTimeout);
 }
 
+bool
+SiteDeployment::IsReady(std::size_t aHost) const
+{
+  HttpClient client(this->readiness[aHost]);
+  const auto answer = client.Get("/api/ready", kProbeTimeout);
+  return answer && answer->status == kOk;
+}
+
 std::optional<std::size_t>
 SiteDeployment::Holder() const
 {
--- a/tests/harness/site_deployment.h
+++ b/tests/harness/site_deployment.h
@@ -19,13 +19,15 @@
 class SiteDeployment
 {
 public:
-  SiteDeployment(int aHosts, int aWorkers);
+  /** Each daemon serves callers on aThreads threads. */
+  SiteDeployment(int aHosts, int aWorkers, int aThreads = 1);
 
   std::size_t Hosts() const { return this->daemons.size(); }
   Process& Daemon(std::size_t aHost) { return *this->daemons.at(aHost); }
   /** Starts or restarts a daemon. */
   void Start(std::size_t aHost);
   bool WaitUntilReady(std::size_t aHost) const;
+  bool IsReady(std::size_t aHost) const;
   /** The relay between a daemon and the store. */
   Relay& StoreLink(std::size_t aHost) { return *this->storeLinks.at(aHost); }
   /** The host whose log has the committed takeover with the highest term. */
--- a/tests/soak/domain_soak.cpp
+++ b/tests/soak/domain_soak.cpp
@@ -2,6 +2,7 @@
 #include "tests/harness/process.h"
 #include "tests/harness/site_deployment.h"
 #include "tests/harness/wait.h"
+#include "tests/soak/host_pauses.h"
 #include "tests/soak/open_callers.h"
 #include "tests/soak/planned_work.h"
 #include "tests/soak/soak_callers.h"
@@ -144,9 +145,9 @@
 }
 
 bool
-Soak(unsigned aSeed, std::chrono::seconds aLength)
+Soak(unsigned aSeed, std::chrono::seconds aLength, int aThreads)
 {
-  SiteDeployment site(kHosts, kWorkers);
+  SiteDeployment site(kHosts, kWorkers, aThreads);
   for (std::size_t host = 0; host < site.Hosts(); ++host) {
     if (!site.WaitUntilReady(host)) {
       std::cerr << "host" << host << " does not become ready\n";
@@ -178,14 +179,18 @@
 
 /** Stops, starts, reloads and configures hosts while callers use connections
  * that they keep open. Every request that a host has read must be answered, and
- * every accepted job must be shown and completed. */
+ * every accepted job must be shown and completed. With aHasPauses, hosts are
+ * also suspended, and each must answer once it goes on. */
 bool
-SoakPlannedWork(unsigned aSeed, std::chrono::seconds aLength)
+SoakPlannedWork(unsigned aSeed,
+                std::chrono::seconds aLength,
+                int aThreads,
+                bool aHasPauses)
 {
   constexpr int kPlannedHosts = 6;
   constexpr int kOpenCallers = 16;
   constexpr Milliseconds kStoreDelay{ 3 };
-  SiteDeployment site(kPlannedHosts, kWorkers);
+  SiteDeployment site(kPlannedHosts, kWorkers, aThreads);
   for (std::size_t host = 0; host < site.Hosts(); ++host) {
     if (!site.WaitUntilReady(host)) {
       std::cerr << "host" << host << " does not become ready\n";
@@ -195,8 +200,9 @@
   for (std::size_t host = 0; host < site.Hosts(); ++host) {
     site.StoreLink(host).SetDelay(kStoreDelay);
   }
-  OpenCallers callers(site, kOpenCallers, aSeed);
-  PlannedWork work(site, aSeed);
+  HostPauses pauses(site.Hosts());
+  OpenCallers callers(site, pauses, kOpenCallers, aSeed);
+  PlannedWork work(site, pauses, aHasPauses, aSeed);
   work.Run(Clock::now() + aLength);
   callers.Stop();
   std::vector<std::string> violations = callers.Violations();
@@ -212,9 +218,9 @@
   }
   const bool hasPassed = isSettled && violations.empty();
   std::cerr << "planned work, seed " << aSeed << ": " << work.Stops()
-            << " stops, " << callers.Calls() << " calls, "
-            << callers.Unanswered() << " without an answer, " << jobs.size()
-            << " jobs accepted and not cancelled: "
+            << " stops, " << work.Pauses() << " pauses, " << callers.Calls()
+            << " calls, " << callers.Unanswered() << " without an answer, "
+            << jobs.size() << " jobs accepted and not cancelled: "
             << (hasPassed ? "passed" : "FAILED") << '\n';
   if (hasPassed) {
     site.MarkPassed();
@@ -232,7 +238,9 @@
   using namespace sardinecourse;
   int seed = 1;
   int seconds = 12;
+  int threads = 1;
   int isPlanned = 0;
+  int hasPauses = 0;
   const poptOption options[] = {
     { "seed", 's', POPT_ARG_INT, &seed, 0, "Seed of the faults", "N" },
     { "seconds", 0, POPT_ARG_INT, &seconds, 0, "Time with faults", "S" },
@@ -243,6 +251,20 @@
       0,
       "Planned work only, with callers on open connections",
       nullptr },
+    { "pauses",
+      0,
+      POPT_ARG_NONE,
+      &hasPauses,
+      0,
+      "With --planned, also suspends hosts for 0.2 to 5 s",
+      nullptr },
+    { "threads",
+      't',
+      POPT_ARG_INT,
+      &threads,
+      0,
+      "Threads of each host that serve callers",
+      "N" },
     POPT_AUTOHELP POPT_TABLEEND
   };
   poptContext context =
@@ -258,7 +280,8 @@
   const RcuThread rcuThread;
   const bool hasPassed =
     isPlanned != 0
-      ? harness::SoakPlannedWork(static_cast<unsigned>(seed), length)
-      : harness::Soak(static_cast<unsigned>(seed), length);
+      ? harness::SoakPlannedWork(
+          static_cast<unsigned>(seed), length, threads, hasPauses != 0)
+      : harness::Soak(static_cast<unsigned>(seed), length, threads);
   return hasPassed ? 0 : 1;
 }
--- a/tests/soak/open_callers.cpp
+++ b/tests/soak/open_callers.cpp
@@ -4,6 +4,7 @@
 #include "links/http_request.h"
 #include "tests/harness/http_client.h"
 #include "tests/harness/site_deployment.h"
+#include "tests/soak/host_pauses.h"
 
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -13,7 +14,14 @@
 
 namespace {
 
+/** A call is given up after this time, and the longest series of pauses of its
+ * host. */
 constexpr Milliseconds kCallTimeout{ 4000 };
+constexpr Milliseconds kMaxPausedTime{ 20'000 };
+/** Time that a caller gives its request, and by which an answer may be later.
+ */
+constexpr Milliseconds kDeadline{ 3000 };
+constexpr Milliseconds kDeadlineSlack{ 500 };
 constexpr Milliseconds kCallPause{ 15 };
 /** A connection that ends without an answer later than this after the request
  * was sent has lost a request that the host had read. */
@@ -27,8 +35,12 @@
 
 }
 
-OpenCallers::OpenCallers(SiteDeployment& aSite, int aCallers, unsigned aSeed)
+OpenCallers::OpenCallers(SiteDeployment& aSite,
+                         const HostPauses& aPauses,
+                         int aCallers,
+                         unsigned aSeed)
   : site(&aSite)
+  , pauses(&aPauses)
 {
   for (int index = 0; index < aCallers; ++index) {
     auto caller = std::make_unique<Caller>();
@@ -178,28 +190,60 @@
   request.method = aMethod;
   request.target = aPath;
   request.fields.Add("Api-Key", "k1");
-  request.fields.Add("X-Deadline-Remaining", "3000");
+  request.fields.Add("X-Deadline-Remaining", std::to_string(kDeadline.count()));
   request.body = aBody;
   ++this->calls;
   const Instant sentAt = Clock::now();
-  const auto answer = connection.Call(request, kCallTimeout);
+  const std::string call =
+    aMethod + " " + aPath + " to host" + std::to_string(host);
+  const auto answer = connection.Call(request, kCallTimeout + kMaxPausedTime);
   if (answer) {
+    this->CheckAnswerTime(host, sentAt, call);
     aBody = answer->body;
     return answer->status;
   }
   ++this->unanswered;
-  const auto took =
-    std::chrono::duration_cast<Milliseconds>(Clock::now() - sentAt);
-  if (connection.Progress() == ExchangeProgress::kMaybeSent &&
-      took > kLossSlack) {
-    this->AddViolation(aMethod + " " + aPath + " to host" +
-                       std::to_string(host) + " ended after " +
-                       std::to_string(took.count()) +
-                       " ms: " + connection.LastReason().Message());
+  if (connection.Progress() == ExchangeProgress::kMaybeSent) {
+    this->CheckUnanswered(host, sentAt, call, connection.LastReason());
   }
   return 0;
 }
 
+void
+OpenCallers::CheckUnanswered(std::size_t aHost,
+                             Instant aSentAt,
+                             const std::string& aCall,
+                             const Reason& aReason)
+{
+  const auto took =
+    std::chrono::duration_cast<Milliseconds>(Clock::now() - aSentAt);
+  const Milliseconds paused = this->pauses->PausedTime(aHost, aSentAt);
+  // A host that was stopped and suspended may have closed the connection before
+  // it was suspended, and so has not read the request.
+  const bool isUnread =
+    paused.count() > 0 && this->pauses->WasStopping(aHost, aSentAt);
+  if (took > kLossSlack && !(isUnread && took <= paused + kLossSlack)) {
+    this->AddViolation(aCall + " ended after " + std::to_string(took.count()) +
+                       " ms, " + std::to_string(paused.count()) +
+                       " of them suspended: " + aReason.Message());
+  }
+}
+
+void
+OpenCallers::CheckAnswerTime(std::size_t aHost,
+                             Instant aSentAt,
+                             const std::string& aCall)
+{
+  const auto took =
+    std::chrono::duration_cast<Milliseconds>(Clock::now() - aSentAt);
+  const Milliseconds paused = this->pauses->PausedTime(aHost, aSentAt);
+  if (took > paused + kDeadline + kDeadlineSlack) {
+    this->AddViolation(aCall + " was answered after " +
+                       std::to_string(took.count()) + " ms, " +
+                       std::to_string(paused.count()) + " of them suspended");
+  }
+}
+
 void
 OpenCallers::AddViolation(const std::string& aViolation)
 {
--- a/tests/soak/open_callers.h
+++ b/tests/soak/open_callers.h
@@ -13,18 +13,27 @@
 #include <thread>
 #include <vector>
 
-namespace sardinecourse::harness {
+namespace sardinecourse {
 
+class Reason;
+
+namespace harness {
+
+class HostPauses;
 class HttpClient;
 class SiteDeployment;
 
 /** Callers that submit, show and cancel jobs on connections that they keep open
  * to every host, and check each answer against those before it while only
- * planned work goes on. */
+ * planned work goes on. A host that is suspended must answer, once it goes on,
+ * what was sent to it meanwhile. */
 class OpenCallers
 {
 public:
-  OpenCallers(SiteDeployment& aSite, int aCallers, unsigned aSeed);
+  OpenCallers(SiteDeployment& aSite,
+              const HostPauses& aPauses,
+              int aCallers,
+              unsigned aSeed);
   ~OpenCallers();
   OpenCallers(const OpenCallers&) = delete;
   OpenCallers& operator=(const OpenCallers&) = delete;
@@ -64,9 +73,19 @@
            const std::string& aMethod,
            const std::string& aPath,
            std::string& aBody);
+  /** Checks a call that ended without an answer. */
+  void CheckUnanswered(std::size_t aHost,
+                       Instant aSentAt,
+                       const std::string& aCall,
+                       const Reason& aReason);
+  /** Checks the time that an answer took. */
+  void CheckAnswerTime(std::size_t aHost,
+                       Instant aSentAt,
+                       const std::string& aCall);
   void AddViolation(const std::string& aViolation);
 
   SiteDeployment* site;
+  const HostPauses* pauses;
   std::atomic<bool> isStopping = false;
   std::atomic<std::int64_t> calls = 0;
   std::atomic<std::int64_t> unanswered = 0;
@@ -77,3 +96,5 @@
 };
 
 }
+
+}
--- a/tests/soak/planned_work.cpp
+++ b/tests/soak/planned_work.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/harness/process.h"
 #include "tests/harness/site_deployment.h"
+#include "tests/soak/host_pauses.h"
 
 #include <algorithm>
 #include <csignal>
@@ -14,6 +15,7 @@
 /** After this time a stopped process is killed. */
 constexpr Milliseconds kGraceTime{ 6000 };
 constexpr Milliseconds kPollInterval{ 10 };
+constexpr Milliseconds kReadyTime{ 20'000 };
 /** At least this many hosts are not being stopped. */
 constexpr std::size_t kMinServing = 2;
 
@@ -26,10 +28,16 @@
 
 }
 
-PlannedWork::PlannedWork(SiteDeployment& aSite, unsigned aSeed)
+PlannedWork::PlannedWork(SiteDeployment& aSite,
+                         HostPauses& aPauses,
+                         bool aHasPauses,
+                         unsigned aSeed)
   : site(&aSite)
+  , pauses(&aPauses)
+  , hasPauses(aHasPauses)
   , random(aSeed)
   , stoppedAt(aSite.Hosts())
+  , resumeAt(aSite.Hosts())
 {
 }
 
@@ -43,6 +51,7 @@
   while (
     Clock::now() < aUntil ||
     std::any_of(this->stoppedAt.begin(), this->stoppedAt.end(), isStopping)) {
+    this->EndDuePauses(Clock::now());
     this->CheckStopping();
     if (Clock::now() >= next && Clock::now() < aUntil) {
       this->Begin();
@@ -51,11 +60,16 @@
     }
     std::this_thread::sleep_for(kPollInterval);
   }
+  this->EndDuePauses(Instant::max());
 }
 
 void
 PlannedWork::Begin()
 {
+  if (this->hasPauses && this->random() % 2 == 0) {
+    this->BeginPause();
+    return;
+  }
   switch (this->random() % 4) {
     case 0:
       this->site->Configure(++this->version,
@@ -85,9 +99,50 @@
     if (this->stoppedAt[host] || serving <= kMinServing) {
       continue;
     }
+    this->pauses->BeginStop(host);
     this->site->Daemon(host).Signal(SIGTERM);
     this->stoppedAt[host] = Clock::now();
     ++this->stops;
+    const bool isPausedNext = this->hasPauses && this->random() % 2 == 0;
+    if (isPausedNext && !this->resumeAt[host]) {
+      // The first milliseconds of a stop release the domain.
+      constexpr unsigned kMaxDelayMs = 12;
+      std::this_thread::sleep_for(Milliseconds(this->random() % kMaxDelayMs));
+      this->Pause(host);
+    }
+  }
+}
+
+void
+PlannedWork::BeginPause()
+{
+  const std::size_t host = this->random() % this->site->Hosts();
+  if (!this->resumeAt[host]) {
+    this->Pause(host);
+  }
+}
+
+void
+PlannedWork::Pause(std::size_t aHost)
+{
+  constexpr int kMinPauseMs = 200;
+  constexpr int kMaxPauseMs = 5000;
+  std::uniform_int_distribution<int> time(kMinPauseMs, kMaxPauseMs);
+  this->pauses->BeginPause(aHost);
+  this->site->Daemon(aHost).Signal(SIGSTOP);
+  this->resumeAt[aHost] = Clock::now() + Milliseconds(time(this->random));
+  ++this->pauseCount;
+}
+
+void
+PlannedWork::EndDuePauses(Instant aNow)
+{
+  for (std::size_t host = 0; host < this->resumeAt.size(); ++host) {
+    if (this->resumeAt[host] && *this->resumeAt[host] <= aNow) {
+      this->site->Daemon(host).Signal(SIGCONT);
+      this->pauses->EndPause(host);
+      this->resumeAt[host].reset();
+    }
   }
 }
 
@@ -104,7 +159,9 @@
       continue;
     }
     if (daemon.IsRunning() &&
-        Clock::now() < *this->stoppedAt[host] + kGraceTime) {
+        Clock::now() <
+          *this->stoppedAt[host] + kGraceTime +
+            this->pauses->PausedTime(host, *this->stoppedAt[host])) {
       continue;
     }
     if (daemon.IsRunning()) {
@@ -114,6 +171,7 @@
       this->AddViolation(host, "did not end as stopped, " + ExitText(daemon));
     }
     this->stoppedAt[host].reset();
+    this->pauses->EndStop(host);
     this->Restart(host);
   }
 }
@@ -124,7 +182,15 @@
 PlannedWork::Restart(std::size_t aHost)
 {
   this->site->Start(aHost);
-  if (!this->site->WaitUntilReady(aHost)) {
+  const Instant startedAt = Clock::now();
+  bool isReady = false;
+  while (!isReady && Clock::now() < startedAt + kReadyTime) {
+    isReady = this->site->IsReady(aHost);
+    // The other hosts go on meanwhile.
+    this->EndDuePauses(Clock::now());
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  if (!isReady) {
     this->AddViolation(aHost, "did not become ready");
   }
 }
