--- a/tests/scheduling/lease_loop_test.cpp
+++ b/tests/scheduling/lease_loop_test.cpp
@@ -6,7 +6,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <exception>
+#include <functional>
 #include <memory>
+#include <utility>
 
 namespace sardinecourse {
 
@@ -17,15 +20,31 @@
 constexpr Milliseconds kFeedWait{ 5 };
 
 /** A store whose feed waits before it answers, so that several hosts can follow
- * it on one thread. */
+ * it on one thread. The answer of a transaction can be delayed. */
 class WaitingRowStore : public FakeRowStore
 {
 public:
+  /** Called once, between the next transaction and its answer. */
+  std::function<void()> beforeAnswer;
+
   explicit WaitingRowStore(boost::asio::io_context& aContext)
     : context(&aContext)
   {
   }
 
+  boost::asio::awaitable<CommitAnswer> Commit(
+    const TableTransaction& aTransaction,
+    Reason& aReason)
+  {
+    CommitAnswer answer =
+      co_await this->FakeRowStore::Commit(aTransaction, aReason);
+    if (const auto hook = std::exchange(this->beforeAnswer, nullptr)) {
+      hook();
+      co_await Pause(*this->context, kFeedWait);
+    }
+    co_return answer;
+  }
+
   boost::asio::awaitable<std::optional<RowPage>> Changes(std::string aTable,
                                                          std::int64_t aAfter,
                                                          Milliseconds aWait,
@@ -56,6 +75,11 @@
   CPPUNIT_TEST(LostHolderMayRenewLeasesAfterTheTakeover);
   CPPUNIT_TEST(OneHostTakesOverFromLostHolder);
   CPPUNIT_TEST(ReleaseEndsExclusivityBeforeTheHolderLearnsOfIt);
+  CPPUNIT_TEST(StopDuringTakeoverReleasesDomain);
+  CPPUNIT_TEST(StopDuringTakeoverWithLostAnswerReleasesDomain);
+  CPPUNIT_TEST(StopDuringTakeoverThatIsNotStoredReleasesDomain);
+  CPPUNIT_TEST(RefusedReleaseIsRepeated);
+  CPPUNIT_TEST(ReleaseWithLostAnswerIsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,6 +168,40 @@
     CPPUNIT_ASSERT(loop.ExclusiveUntil() < Clock::now());
   }
 
+  /** A host that was told to stop while its takeover was in flight kept the
+   * domain until its lease expired, without any holder. */
+  void StopDuringTakeoverReleasesDomain()
+  {
+    this->StopDuringTakeover(StoreFault::kNone);
+  }
+
+  /** The takeover took effect, but the host does not know it when it stops. */
+  void StopDuringTakeoverWithLostAnswerReleasesDomain()
+  {
+    this->StopDuringTakeover(StoreFault::kLostApplied);
+  }
+
+  /** The takeover can still take effect after the host has stopped, unless the
+   * host writes the row once more. */
+  void StopDuringTakeoverThatIsNotStoredReleasesDomain()
+  {
+    this->StopDuringTakeover(StoreFault::kLostUnapplied);
+    CPPUNIT_ASSERT(this->store.Find(kLeaseTable, kOwnerRow) != nullptr);
+  }
+
+  /** A host whose release was refused by a busy store kept the domain until its
+   * lease expired. */
+  void RefusedReleaseIsRepeated()
+  {
+    this->ReleaseWithFault(StoreFault::kNotWritten);
+  }
+
+  /** The release was lost on its way, and no other attempt followed. */
+  void ReleaseWithLostAnswerIsRepeated()
+  {
+    this->ReleaseWithFault(StoreFault::kLostUnapplied);
+  }
+
 private:
   void PutOwner(bool aIsReleased)
   {
@@ -155,6 +213,58 @@
         (aIsReleased ? "true}" : "false}"));
   }
 
+  void Release(const std::unique_ptr<Loop>& aLoop)
+  {
+    boost::asio::co_spawn(
+      this->context, aLoop->Release(), [this](const std::exception_ptr&) {
+        this->isReleased = true;
+      });
+  }
+
+  void RunUntilReleased()
+  {
+    const Instant until = Clock::now() + kMaxRun;
+    while (!this->isReleased && Clock::now() < until) {
+      this->context.restart();
+      this->context.run_for(kFeedWait);
+    }
+    CPPUNIT_ASSERT(this->isReleased);
+  }
+
+  /** Whether the store shows that any host may take the domain over. */
+  bool IsDomainFree() const
+  {
+    const TableRow* row = this->store.Find(kLeaseTable, kOwnerRow);
+    Reason reason;
+    const auto owner =
+      row == nullptr ? std::nullopt : DecodeDomainOwner(row->Value(), reason);
+    return !owner || owner->IsReleased();
+  }
+
+  void StopDuringTakeover(StoreFault aFault)
+  {
+    this->store.faults = { aFault };
+    this->store.beforeAnswer = [this] { this->Release(this->loops.back()); };
+    this->Add("a", 1.0);
+    this->RunUntilReleased();
+    this->context.restart();
+    this->context.run_for(kLease / 4);
+    CPPUNIT_ASSERT(this->IsDomainFree());
+    CPPUNIT_ASSERT_EQUAL(0, this->gains);
+    CPPUNIT_ASSERT(this->loops.back()->ExclusiveUntil() < Clock::now());
+  }
+
+  void ReleaseWithFault(StoreFault aFault)
+  {
+    this->Add("a", 1.0);
+    this->RunUntilGains(1);
+    this->store.faults = { aFault };
+    this->Release(this->loops.back());
+    this->RunUntilReleased();
+    CPPUNIT_ASSERT(this->IsDomainFree());
+    CPPUNIT_ASSERT_EQUAL(1, this->losses);
+  }
+
   void Add(const std::string& aHost, double aShare)
   {
     this->loops.push_back(std::make_unique<Loop>(
@@ -188,7 +298,13 @@
   std::vector<std::unique_ptr<Loop>> loops;
   int gains = 0;
   int losses = 0;
+<<<<<<< HEAD
   DomainGain lastGain;
+=======
+  bool isReleased = false;
+  std::int64_t lastTerm = 0;
+  std::int64_t lastRevision = 0;
+>>>>>>> races
   std::string lastHolder;
 };
 
