Keep the jobs of a route known when its name changes

A configuration that gives a route another name, with the same host and path prefix, made all its accepted jobs unknown: every host answered GET and DELETE with 410 while the tasks ran on. Calls were matched by the route's name alone.

A job now stores the address under which it was accepted, host and path prefix, in its own row, its progress and its archived state. It belongs to the route that has this address or, as before, the name.

JobOfRenamedQueueIsShownAndCancelled failed before: the GET after the change was answered as no such job. JobOfMovedQueueIsShown (another prefix, same name) and JobOfAnotherQueueIsNoJob passed before and after. Rows that earlier versions wrote have no address and are matched by name.

--- a/codecs/admitted_job_json.cpp
+++ b/codecs/admitted_job_json.cpp
@@ -104,6 +104,7 @@
   return JsonText(
     { { "key", aJob.Key().Text() },
       { "queue", aJob.Queue().Text() },
+      { "address", aJob.Address().Text() },
       { "service", aJob.Service().Text() },
       { "team", aJob.Team().Text() },
       { "priority", aJob.Priority() },
@@ -135,6 +136,7 @@
   return AdmittedJobBuilder()
     .Key(JobKey(TextField(*job, "key")))
     .Queue(QueueName(TextField(*job, "queue")))
+    .Address(QueueAddress(TextField(*job, "address")))
     .Service(ServiceName(TextField(*job, "service")))
     .Team(TeamName(TextField(*job, "team")))
     .Priority(SmallIntegerField(*job, "priority"))
--- a/codecs/job_progress_json.cpp
+++ b/codecs/job_progress_json.cpp
@@ -182,6 +182,7 @@
   Reason ignored; // The whole progress has a queue.
   return JobProgressBuilder()
     .Queue(aWhole.Queue())
+    .Address(aWhole.Address())
     .State(aWhole.State())
     .Marks(std::move(aMarks))
     .FailedRuns(std::move(aShare.failedRuns))
@@ -262,6 +263,7 @@
   nlohmann::json workers = nlohmann::json::array();
   nlohmann::json placements = EncodePlacements(aProgress.Placements(), workers);
   nlohmann::json object = { { "queue", aProgress.Queue().Text() },
+                            { "address", aProgress.Address().Text() },
                             { "state", JobStateName(aProgress.State()) },
                             { "marks", aProgress.Marks() },
                             { "failed_units",
@@ -289,6 +291,7 @@
   }
   return JobProgressBuilder()
     .Queue(QueueName(TextField(*object, "queue")))
+    .Address(QueueAddress(TextField(*object, "address")))
     .State(*state)
     .Marks(TextField(*object, "marks"))
     .FailedRuns(DecodeFailedRuns(*object))
--- a/contracts/admitted_job.h
+++ b/contracts/admitted_job.h
@@ -16,6 +16,9 @@
 public:
   const JobKey& Key() const { return this->key; }
   const QueueName& Queue() const { return this->queue; }
+  /** Address of the queue when the job was accepted; empty for a job that an
+   * earlier version accepted. */
+  const QueueAddress& Address() const { return this->address; }
   const ServiceName& Service() const { return this->service; }
   /** Empty for a job submitted through a public queue. */
   const TeamName& Team() const { return this->team; }
@@ -39,6 +42,7 @@
 
   JobKey key;
   QueueName queue;
+  QueueAddress address;
   ServiceName service;
   TeamName team;
   std::int32_t priority = 0;
--- a/contracts/admitted_job_builder.cpp
+++ b/contracts/admitted_job_builder.cpp
@@ -20,6 +20,13 @@
   return *this;
 }
 
+AdmittedJobBuilder&
+AdmittedJobBuilder::Address(QueueAddress aAddress)
+{
+  this->value.address = std::move(aAddress);
+  return *this;
+}
+
 AdmittedJobBuilder&
 AdmittedJobBuilder::Service(ServiceName aService)
 {
--- a/contracts/admitted_job_builder.h
+++ b/contracts/admitted_job_builder.h
@@ -15,6 +15,7 @@
 public:
   AdmittedJobBuilder& Key(JobKey aKey);
   AdmittedJobBuilder& Queue(QueueName aQueue);
+  AdmittedJobBuilder& Address(QueueAddress aAddress);
   AdmittedJobBuilder& Service(ServiceName aService);
   AdmittedJobBuilder& Team(TeamName aTeam);
   AdmittedJobBuilder& Priority(std::int32_t aPriority);
--- a/contracts/job_progress.h
+++ b/contracts/job_progress.h
@@ -17,6 +17,9 @@
 {
 public:
   const QueueName& Queue() const { return this->queue; }
+  /** Address of the queue when the job was accepted; empty for a job that an
+   * earlier version accepted. */
+  const QueueAddress& Address() const { return this->address; }
   const JobState& State() const { return this->state; }
   /** One character per unit: kNeverStarted, kStarted or kDone. A unit counts as
    * started once a worker has confirmed a run. Empty until then. */
@@ -44,6 +47,7 @@
   friend class JobProgressBuilder;
 
   QueueName queue;
+  QueueAddress address;
   JobState state = JobState::kAdmitted;
   std::string marks;
   std::vector<FailedRun> failedRuns;
--- a/contracts/job_progress_builder.cpp
+++ b/contracts/job_progress_builder.cpp
@@ -13,6 +13,13 @@
   return *this;
 }
 
+JobProgressBuilder&
+JobProgressBuilder::Address(QueueAddress aAddress)
+{
+  this->value.address = std::move(aAddress);
+  return *this;
+}
+
 JobProgressBuilder&
 JobProgressBuilder::State(JobState aState)
 {
--- a/contracts/job_progress_builder.h
+++ b/contracts/job_progress_builder.h
@@ -14,6 +14,7 @@
 {
 public:
   JobProgressBuilder& Queue(QueueName aQueue);
+  JobProgressBuilder& Address(QueueAddress aAddress);
   JobProgressBuilder& State(JobState aState);
   JobProgressBuilder& Marks(std::string aMarks);
   JobProgressBuilder& FailedRuns(std::vector<FailedRun> aFailedRuns);
--- a/contracts/job_queue.h
+++ b/contracts/job_queue.h
@@ -18,6 +18,18 @@
   const std::string& Authority() const { return this->authority; }
   /** Prefix of the path in calls to this queue. */
   const std::string& PathPrefix() const { return this->pathPrefix; }
+  /** The authority followed by the path prefix. */
+  QueueAddress Address() const
+  {
+    return QueueAddress(this->authority + this->pathPrefix);
+  }
+  /** Whether a job belongs to this queue that was accepted by a queue with this
+   * name and address; the address is empty if it is not known. Either may have
+   * changed since, but not both. */
+  bool Contains(const QueueName& aName, const QueueAddress& aAddress) const
+  {
+    return aName == this->name || aAddress == this->Address();
+  }
   /** Service whose workers run the tasks. */
   const ServiceName& Service() const { return this->service; }
   /** Lower values run first; jobs of priority 0 may preempt others. */
--- a/core/names.h
+++ b/core/names.h
@@ -15,5 +15,6 @@
 using JobKey = Name<struct JobKeyTag>;
 using TaskName = Name<struct TaskTag>;
 using QueueName = Name<struct QueueTag>;
+using QueueAddress = Name<struct QueueAddressTag>;
 
 }
--- a/scheduling/archive_batch.cpp
+++ b/scheduling/archive_batch.cpp
@@ -32,6 +32,7 @@
     Reason ignored; // Only the queue is checked, and it is set.
     const JobProgress final = JobProgressBuilder()
                                 .Queue(job.Job().Queue())
+                                .Address(job.Job().Address())
                                 .State(job.State())
                                 .Build(ignored)
                                 .value_or(JobProgress());
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -288,6 +288,7 @@
     const auto job = AdmittedJobBuilder()
                        .Key(aCallContext.job)
                        .Queue(aCallContext.queue.Name())
+                       .Address(aCallContext.queue.Address())
                        .Service(aCallContext.queue.Service())
                        .Team(aCallContext.team)
                        .Priority(aCallContext.queue.Priority())
@@ -297,8 +298,10 @@
                        .Admitted(now)
                        .Plan(aPlan)
                        .Build(ignored);
-    const auto progress =
-      JobProgressBuilder().Queue(aCallContext.queue.Name()).Build(ignored);
+    const auto progress = JobProgressBuilder()
+                            .Queue(aCallContext.queue.Name())
+                            .Address(aCallContext.queue.Address())
+                            .Build(ignored);
     std::vector<TableCheck> checks;
     std::vector<TableWrite> writes;
     AddCheck(checks, kJobTable, aCallContext.job.Text(), 0);
@@ -351,7 +354,8 @@
     std::int64_t revision = 0;
     const std::optional<JobProgress> progress =
       co_await this->ReadProgress(aCallContext.job, revision, reason);
-    if (progress && progress->Queue() == aCallContext.queue.Name()) {
+    if (progress &&
+        aCallContext.queue.Contains(progress->Queue(), progress->Address())) {
       JobReply reply = MakeReply(JobReply::Kind::kState);
       reply.state = progress->State();
       co_return reply;
@@ -417,7 +421,8 @@
       const std::optional<JobProgress> progress =
         co_await this->ReadProgress(aCallContext.job, revision, reason);
       const bool isUnknown = !progress && reason.At() == Step::kAdmission;
-      if (progress && progress->Queue() != aCallContext.queue.Name()) {
+      if (progress && !aCallContext.queue.Contains(progress->Queue(),
+                                                   progress->Address())) {
         co_return Refuse(JobReply::Kind::kNoJob, "no such job");
       }
       if (progress && IsFinal(progress->State())) {
@@ -487,6 +492,7 @@
     Reason ignored; // The stored progress has a queue.
     const auto cancelled = JobProgressBuilder()
                              .Queue(aProgress.Queue())
+                             .Address(aProgress.Address())
                              .State(JobState::kCancelled)
                              .Marks(aProgress.Marks())
                              .FailedRuns(aProgress.FailedRuns())
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -60,6 +60,7 @@
     const JobProgress progress =
       Valid(JobProgressBuilder()
               .Queue(QueueName("q"))
+              .Address(QueueAddress("a/q/"))
               .State(JobState::kRunning)
               .Marks("s.D")
               .FailedRuns({ FailedRun{ 0, 1 } })
@@ -90,6 +91,7 @@
     const auto make = [&](std::int32_t aRows) {
       return Valid(JobProgressBuilder()
                      .Queue(QueueName("q"))
+                     .Address(QueueAddress("a/q/"))
                      .State(JobState::kRunning)
                      .Marks("sss")
                      .FailedRuns(failed)
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -20,12 +20,19 @@
 constexpr const char* kJob = "0123456789abcdef";
 
 std::string
-ConfigurationText(int aVersion, const std::string& aKeys)
+RouteText(const std::string& aName, const std::string& aPathPrefix)
 {
-  return R"({"Version":)" + std::to_string(aVersion) +
-         R"(,"Routes":[{"Name":"r1","Host":"a","PathPrefix":"/one/",)"
-         R"("Service":"s1"}],"Tenants":[{"Name":"t1","ApiKeys":[)" +
-         aKeys + "]}]}";
+  return R"({"Name":")" + aName + R"(","Host":"a","PathPrefix":")" +
+         aPathPrefix + R"(","Service":"s1"})";
+}
+
+std::string
+ConfigurationText(int aVersion,
+                  const std::string& aKeys,
+                  const std::string& aRoutes = RouteText("r1", "/one/"))
+{
+  return R"({"Version":)" + std::to_string(aVersion) + R"(,"Routes":[)" +
+         aRoutes + R"(],"Tenants":[{"Name":"t1","ApiKeys":[)" + aKeys + "]}]}";
 }
 
 }
@@ -50,18 +57,13 @@
   CPPUNIT_TEST(ArchivedJobIsShownAndNotRunAgain);
   CPPUNIT_TEST(UnknownJobIsReportedAsNoJob);
   CPPUNIT_TEST(UnknownKeyOrQueueIsRefused);
+  CPPUNIT_TEST(JobOfRenamedQueueIsShownAndCancelled);
+  CPPUNIT_TEST(JobOfMovedQueueIsShown);
+  CPPUNIT_TEST(JobOfAnotherQueueIsNoJob);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override
-  {
-    this->store.Put("op", "config", ConfigurationText(3, "\"k1\""));
-    Reason reason;
-    const auto catalog =
-      platform::DecodeCatalog(*this->store.Find("op", "config"), reason);
-    this->currentCatalog.Publish(*catalog);
-    this->currentCatalog.NoteConfirmed(Clock::now());
-  }
+  void setUp() override { this->Configure(ConfigurationText(3, "\"k1\"")); }
 
   void StoredJobIsAccepted()
   {
@@ -233,7 +235,60 @@
     CPPUNIT_ASSERT(JobReply::Kind::kNoQueue == this->Serve(call).kind);
   }
 
+  /** A new configuration gives the route another name. Its accepted jobs were
+   * answered as unknown while their tasks ran on. */
+  void JobOfRenamedQueueIsShownAndCancelled()
+  {
+    this->Submit();
+    this->Configure(ConfigurationText(4, "\"k1\"", RouteText("r2", "/one/")));
+    CPPUNIT_ASSERT(JobReply::Kind::kAccepted == this->Submit().kind);
+    const JobReply shown = this->Send(JobCall::Kind::kShow);
+    CPPUNIT_ASSERT(JobReply::Kind::kState == shown.kind);
+    CPPUNIT_ASSERT(JobState::kAdmitted == shown.state);
+    CPPUNIT_ASSERT(JobReply::Kind::kCancelled ==
+                   this->Send(JobCall::Kind::kCancel).kind);
+    CPPUNIT_ASSERT(JobState::kCancelled ==
+                   this->Send(JobCall::Kind::kShow).state);
+  }
+
+  /** The route keeps its name and gets another path prefix. */
+  void JobOfMovedQueueIsShown()
+  {
+    this->Submit();
+    this->Configure(ConfigurationText(4, "\"k1\"", RouteText("r1", "/two/")));
+    JobCall call = this->MakeCall(JobCall::Kind::kShow);
+    CPPUNIT_ASSERT(JobReply::Kind::kNoQueue == this->Serve(call).kind);
+    call.path = "/two/" + std::string(kJob);
+    CPPUNIT_ASSERT(JobReply::Kind::kState == this->Serve(call).kind);
+  }
+
+  /** A job must not be shown at a queue to which it was never submitted. */
+  void JobOfAnotherQueueIsNoJob()
+  {
+    this->Configure(ConfigurationText(
+      4, "\"k1\"", RouteText("r1", "/one/") + "," + RouteText("r2", "/two/")));
+    this->Submit();
+    JobCall call = this->MakeCall(JobCall::Kind::kShow);
+    call.path = "/two/" + std::string(kJob);
+    CPPUNIT_ASSERT(JobReply::Kind::kNoJob == this->Serve(call).kind);
+    call.kind = JobCall::Kind::kCancel;
+    CPPUNIT_ASSERT(JobReply::Kind::kNoJob == this->Serve(call).kind);
+    CPPUNIT_ASSERT(JobReply::Kind::kState ==
+                   this->Send(JobCall::Kind::kShow).kind);
+  }
+
 private:
+  /** Stores a configuration and publishes it on this host. */
+  void Configure(const std::string& aText)
+  {
+    this->store.Put("op", "config", aText);
+    Reason reason;
+    const auto catalog =
+      platform::DecodeCatalog(*this->store.Find("op", "config"), reason);
+    this->currentCatalog.Publish(*catalog);
+    this->currentCatalog.NoteConfirmed(Clock::now());
+  }
+
   JobCall MakeCall(JobCall::Kind aKind) const
   {
     JobCall call;
--- a/tests/scheduling/job_archive_test.cpp
+++ b/tests/scheduling/job_archive_test.cpp
@@ -83,6 +83,8 @@
       const auto progress = DecodeJobProgress(*write.NewValue(), reason);
       CPPUNIT_ASSERT(JobState::kCancelled == progress->State());
       CPPUNIT_ASSERT_EQUAL(std::string("queue-1"), progress->Queue().Text());
+      CPPUNIT_ASSERT_EQUAL(std::string("a.example/queue-1/"),
+                           progress->Address().Text());
     }
     CPPUNIT_ASSERT_EQUAL(3, removed); // Job, cancellation, progress.
   }
--- a/tests/scheduling/progress_batch_test.cpp
+++ b/tests/scheduling/progress_batch_test.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(OnlyConfirmedCommitMarksJobStored);
   CPPUNIT_TEST(CommitWithLostAnswerIsRecognisedInStoredRow);
   CPPUNIT_TEST(CancellationInStoredRowCancelsTrackedJob);
+  CPPUNIT_TEST(StoredProgressKeepsTheQueuesAddress);
   CPPUNIT_TEST(ConflictWithNewerTermDeposesHolder);
   CPPUNIT_TEST(MetricsCountStartsCallsAndPlacementWaits);
   CPPUNIT_TEST_SUITE_END();
@@ -89,6 +90,21 @@
     CPPUNIT_ASSERT(JobState::kCancelled == this->domain.FindJob(kJob)->State());
   }
 
+  /** Without it, the job is unknown once its queue has another name. */
+  void StoredProgressKeepsTheQueuesAddress()
+  {
+    Reason reason;
+    const TableTransaction transaction =
+      ProgressBatch::Collect(
+        this->domain, kTermRevision, RefusedJobs(), Instant())
+        .Transaction();
+    const auto stored =
+      DecodeJobProgress(*transaction.Writes().front().NewValue(), reason);
+    CPPUNIT_ASSERT(stored.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::string("a.example/queue-1/"),
+                         stored->Address().Text());
+  }
+
   void ConflictWithNewerTermDeposesHolder()
   {
     const ProgressBatch batch = ProgressBatch::Collect(
--- a/tests/scheduling/sample_jobs.h
+++ b/tests/scheduling/sample_jobs.h
@@ -66,6 +66,8 @@
     AdmittedJobBuilder()
       .Key(JobKey(aKey))
       .Queue(QueueName("queue-" + std::to_string(aPriority)))
+      .Address(
+        QueueAddress("a.example/queue-" + std::to_string(aPriority) + "/"))
       .Service(ServiceName("fretdesk"))
       .Team(TeamName("luthiers"))
       .Priority(aPriority)
--- a/zones/tracked_job.cpp
+++ b/zones/tracked_job.cpp
@@ -184,6 +184,7 @@
   Reason ignored; // Only the queue is checked, and it is set.
   return JobProgressBuilder()
     .Queue(this->job.Queue())
+    .Address(this->job.Address())
     .State(this->state)
     .Marks(std::move(marks))
     .FailedRuns(std::move(failed))
