Count pending jobs under the name of their queue in force

After a change of a route's name, GET on its path counted no pending job: the holder publishes the counts by the names under which the jobs were accepted, and a caller's host looks them up by the name in force.

The holder now maps each job's address to the name in force before it counts. Jobs without a stored address, or whose address leads to no queue, count under the name that they were accepted with.

PendingJobCountsAtRenamedQueue failed before (the count was under the earlier name).

--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -70,8 +70,8 @@
     this->Spawn([this] { return this->Run(); });
   }
 
-  /** Applies the teams' guarantees of a new configuration and requests a
-   * scheduling pass. */
+  /** Applies the teams' guarantees and the queues' names of a new configuration
+   * and requests a scheduling pass. */
   void Adopt(const ServiceCatalog& aCatalog)
   {
     std::map<TeamName, std::int64_t> guarantees;
@@ -79,6 +79,11 @@
       guarantees[team.Team()] = team.Guaranteed();
     }
     this->Domain().SetGuarantees(std::move(guarantees));
+    std::map<QueueAddress, QueueName> queueNames;
+    for (const JobQueue& queue : aCatalog.Queues()) {
+      queueNames[queue.Address()] = queue.Name();
+    }
+    this->Domain().SetQueueNames(std::move(queueNames));
     this->RequestPass();
   }
 
--- a/tests/scheduling/domain_term_test.cpp
+++ b/tests/scheduling/domain_term_test.cpp
@@ -2,8 +2,11 @@
 
 #include "codecs/job_progress_json.h"
 #include "contracts/job_progress_builder.h"
+#include "contracts/job_queue_builder.h"
+#include "contracts/service_catalog_builder.h"
 #include "platform/schema.h"
 #include "scheduling/domain_feeds.h"
+#include "scheduling/domain_holder.h"
 #include "scheduling/order_sender.h"
 #include "tests/scheduling/fake_row_store.h"
 #include "tests/scheduling/fake_worker_orders.h"
@@ -23,6 +26,7 @@
 const WorkerName kWorker("w0");
 
 using Term = DomainTerm<FakeRowStore, FakeWorkerOrders>;
+using Holder = DomainHolder<FakeRowStore, FakeWorkerOrders, platform::Schema>;
 
 std::string
 WorkerEntry(const std::string& aAddress, const std::string& aOther)
@@ -50,6 +54,7 @@
   CPPUNIT_TEST(ExceptionInLoopEndsTermOnly);
   CPPUNIT_TEST(OddWorkerEntriesAreSkipped);
   CPPUNIT_TEST(JobArchivedBetweenReadsIsNotLoaded);
+  CPPUNIT_TEST(PendingJobCountsAtRenamedQueue);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -153,20 +158,57 @@
     CPPUNIT_ASSERT(term->Domain().FindJob(JobKey("gone")) == nullptr);
   }
 
+  /** The route of a waiting job gets another name, under which callers ask for
+   * its pending jobs from then on; none was counted there. */
+  void PendingJobCountsAtRenamedQueue()
+  {
+    const auto holder = std::make_shared<Holder>(this->context,
+                                                 this->store,
+                                                 this->orders,
+                                                 DomainTiming(),
+                                                 DomainPolicy(),
+                                                 kTerm,
+                                                 kTermRevision,
+                                                 this->MakeCallbacks());
+    holder->Domain().AddJob(
+      MakeAdmitted(kJob.Text(), 1, { Valid(QuarterStep(1)) }),
+      std::nullopt,
+      1,
+      Clock::now());
+    for (const char* name : { "queue-1", "renamed" }) {
+      const JobQueue queue = Valid(JobQueueBuilder()
+                                     .Name(QueueName(name))
+                                     .Authority("a.example")
+                                     .PathPrefix("/queue-1/")
+                                     .Service(ServiceName("fretdesk")));
+      holder->Adopt(
+        Valid(ServiceCatalogBuilder().Version(1).Queues({ queue })));
+      const auto pending = holder->Domain().Pending();
+      CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, pending.size());
+      CPPUNIT_ASSERT_EQUAL(std::string(name), pending.begin()->first.Text());
+    }
+    holder->Stop();
+  }
+
 private:
+  Term::Callbacks MakeCallbacks()
+  {
+    Term::Callbacks made;
+    made.exclusiveUntil = [this] { return this->exclusiveUntil; };
+    made.deposed = [this] { ++this->depositions; };
+    made.metrics = &this->metrics;
+    return made;
+  }
+
   std::shared_ptr<Term> MakeTerm()
   {
-    Term::Callbacks callbacks;
-    callbacks.exclusiveUntil = [this] { return this->exclusiveUntil; };
-    callbacks.deposed = [this] { ++this->depositions; };
-    callbacks.metrics = &this->metrics;
     return std::make_shared<Term>(this->context,
                                   this->store,
                                   this->orders,
                                   DomainTiming(),
                                   kTerm,
                                   kTermRevision,
-                                  callbacks);
+                                  this->MakeCallbacks());
   }
 
   void Run()
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -112,6 +112,19 @@
   return found == this->guarantees.end() ? 0 : found->second;
 }
 
+void
+DomainState::SetQueueNames(std::map<QueueAddress, QueueName> aNames)
+{
+  this->queueNames = std::move(aNames);
+}
+
+const QueueName&
+DomainState::CurrentQueueName(const AdmittedJob& aJob) const
+{
+  const auto found = this->queueNames.find(aJob.Address());
+  return found == this->queueNames.end() ? aJob.Queue() : found->second;
+}
+
 void
 DomainState::ListWorker(const WorkerListing& aListing, Instant aNow)
 {
@@ -623,7 +636,7 @@
   for (const JobKey& key : this->active) {
     const TrackedJob& job = this->jobs.at(key);
     if (!job.Final() && !job.HasStarted()) {
-      ++pending[job.Job().Queue()];
+      ++pending[this->CurrentQueueName(job.Job())];
     }
   }
   return pending;
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -53,6 +53,9 @@
   void SetGuarantees(std::map<TeamName, std::int64_t> aGuarantees);
   std::int64_t GuaranteeOf(const TeamName& aTeam) const;
 
+  /** Names of the queues in force, by address. */
+  void SetQueueNames(std::map<QueueAddress, QueueName> aNames);
+
   void ListWorker(const WorkerListing& aListing, Instant aNow);
   void UnlistWorker(const WorkerName& aWorker);
   TrackedWorker* FindWorker(const WorkerName& aWorker);
@@ -134,7 +137,7 @@
   const QueueRunTimes& RunTimes() const { return this->runTimes; }
 
   /** Number of accepted jobs of each queue of which no task was confirmed to
-   * have started. */
+   * have started. A queue counts under the name in force. */
   std::map<QueueName, std::int64_t> Pending() const;
 
   static TaskAddress AddressOf(const TrackedJob& aJob,
@@ -146,6 +149,7 @@
                           StopCause aCause);
 
 private:
+  const QueueName& CurrentQueueName(const AdmittedJob& aJob) const;
   void AllocateResources(const TrackedJob& aJob,
                          const TaskUnit& aUnit,
                          TrackedWorker& aWorker);
@@ -177,6 +181,7 @@
   std::map<JobKey, Instant> archived;
   std::map<WorkerName, TrackedWorker> workers;
   std::map<TeamName, std::int64_t> guarantees;
+  std::map<QueueAddress, QueueName> queueNames;
   std::vector<StopOrder> orphans;
   QueueRunTimes runTimes;
   Instant lastSweep{};
