Check in random histories that no job fails before its last attempt

The histories had failing jobs of three attempts only, which fail in the end in any case, so a run that counts twice, or counts although it was broken or had lapsed, went unnoticed. Jobs of 2 to 4 attempts whose last one succeeds are submitted now, gangs among them, of which one member or all report the failure.

Counting broken runs as attempts fails the test at once.

--- a/tests/scheduling/domain_fuzz_test.cpp
+++ b/tests/scheduling/domain_fuzz_test.cpp
@@ -25,6 +25,7 @@
   kSubmitTasks,
   kSubmitGang,
   kSubmitFailing,
+  kSubmitRecovering,
   kCancel,
   kTakeOver,
   kRestartWorker,
@@ -74,6 +75,7 @@
                                                  { 3, Act::kSubmitTasks },
                                                  { 3, Act::kSubmitGang },
                                                  { 1, Act::kSubmitFailing },
+                                                 { 2, Act::kSubmitRecovering },
                                                  { 1, Act::kCancel },
                                                  { 1, Act::kTakeOver },
                                                  { 1, Act::kRestartWorker },
@@ -132,6 +134,9 @@
       case Act::kSubmitFailing:
         this->Submit(aAction.number, { Valid(WholeWorkerGang(2)) }, true);
         break;
+      case Act::kSubmitRecovering:
+        this->SubmitRecovering(aAction.number);
+        break;
       case Act::kCancel:
         this->Cancel(aAction.number);
         break;
@@ -160,16 +165,32 @@
   }
 
 private:
-  void Submit(int aNumber, std::vector<JobStep> aSteps, bool aFails)
+  void Submit(int aNumber,
+              std::vector<JobStep> aSteps,
+              bool aFails,
+              std::int32_t aMaxAttempts = 3)
   {
     if (this->world.isStoreDown) {
       return; // No job is admitted while the store is down.
     }
     const std::string key = JobName(static_cast<int>(this->failing.size()));
     this->failing[key] = aFails;
-    this->world.Submit(MakeAdmitted(key, aNumber % 3, std::move(aSteps)),
-                       500 + aNumber * 4,
-                       aFails);
+    this->world.Submit(
+      MakeAdmitted(key, aNumber % 3, std::move(aSteps), aMaxAttempts),
+      500 + aNumber * 4,
+      aFails);
+  }
+
+  /** Submits a gang or tasks whose last attempt succeeds. */
+  void SubmitRecovering(int aNumber)
+  {
+    const std::string key = JobName(static_cast<int>(this->failing.size()));
+    const std::int32_t attempts = 2 + aNumber % 3;
+    const JobStep step = aNumber % 2 == 0
+                           ? Valid(WholeWorkerGang(1 + aNumber % 4))
+                           : Valid(QuarterStep(1 + aNumber % 4));
+    this->Submit(aNumber, { step }, false, attempts);
+    this->world.FailFirst(key, attempts - 1, aNumber % 5 < 2);
   }
 
   void Cancel(int aNumber)
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -127,6 +127,19 @@
   this->domain->AddJob(aJob, std::nullopt, stored.revision, this->Now());
 }
 
+void
+DomainWorld::FailFirst(const std::string& aJob,
+                       std::int32_t aFailures,
+                       bool aOnAllMembers)
+{
+  for (auto& [name, step] : this->site.steps) {
+    if (name.starts_with(aJob + ".")) {
+      step.failures = aFailures;
+      step.failsOnAllMembers = aOnAllMembers;
+    }
+  }
+}
+
 void
 DomainWorld::Cancel(const std::string& aJob)
 {
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -44,6 +44,11 @@
   std::vector<GivenUpRuns> givenUp;
 
   void Submit(const AdmittedJob& aJob, std::int64_t aWorkMs, bool aFails);
+  /** Makes the first aFailures runs of each unit of the job end as failed, on
+   * one member or on all of them. */
+  void FailFirst(const std::string& aJob,
+                 std::int32_t aFailures,
+                 bool aOnAllMembers);
   /** Stores a cancellation by the caller; the holder finds it during its next
    * pass. */
   void Cancel(const std::string& aJob);
--- a/tests/stand_ins/site_simulation.cpp
+++ b/tests/stand_ins/site_simulation.cpp
@@ -74,7 +74,8 @@
     this->AddViolation(
       "started after its acknowledged end", aTask, aWorker.name);
   }
-  if (this->acknowledgedFailures[unit] >= step.maxAttempts) {
+  if (static_cast<std::int32_t>(this->acknowledgedFailures[unit].size()) >=
+      step.maxAttempts) {
     this->AddViolation(
       "started more often than its attempts allow", aTask, aWorker.name);
   }
@@ -119,10 +120,9 @@
     if (end.outcome == "done") {
       this->acknowledgedDone.insert(unit);
     }
-    // A gang's failed run ends as "failed" on one member only, so each run
-    // counts as one attempt.
+    // Several members of a gang's run may have failed; it is one attempt.
     if (end.outcome == "failed") {
-      ++this->acknowledgedFailures[unit];
+      this->acknowledgedFailures[unit].insert(end.run);
     }
   }
   return answer;
@@ -181,12 +181,17 @@
     } else if (!isComplete && this->nowMs >= firstStartMs + kMaxIncompleteMs) {
       outcome = "alone";
     } else if (isComplete && this->nowMs >= completeSinceMs + step.workMs) {
-      outcome = step.fails ? "failed" : "done";
+      std::int32_t& failed = this->failures[unit.first];
+      const bool isFailed = step.fails || failed < step.failures;
+      failed += isFailed ? 1 : 0;
+      outcome = isFailed ? "failed" : "done";
     }
     bool isFirst = true;
     for (const auto& [worker, task] : members.locations) {
       if (!outcome.empty()) {
-        worker->End(task, outcome == "failed" && !isFirst ? "broken" : outcome);
+        const bool isBroken =
+          outcome == "failed" && !isFirst && !step.failsOnAllMembers;
+        worker->End(task, isBroken ? "broken" : outcome);
         isFirst = false;
       }
     }
--- a/tests/stand_ins/site_simulation.h
+++ b/tests/stand_ins/site_simulation.h
@@ -23,6 +23,11 @@
   std::int32_t maxAttempts = 3;
   /** Every run of the step ends as failed. */
   bool fails = false;
+  /** Number of runs of each unit that end as failed before one ends as done. */
+  std::int32_t failures = 0;
+  /** Every member of a gang's failed run ends as failed; otherwise one does,
+   * and the others end as broken. */
+  bool failsOnAllMembers = false;
 };
 
 /**
@@ -77,7 +82,9 @@
   const SiteStep& StepOf(const std::string& aTask) const;
 
   std::set<std::string> acknowledgedDone;
-  std::map<std::string, std::int32_t> acknowledgedFailures;
+  /** Numbers of the failed runs of each unit. */
+  std::map<std::string, std::set<std::int64_t>> acknowledgedFailures;
+  std::map<std::string, std::int32_t> failures;
   std::set<std::string> forbiddenJobs;
   std::vector<std::string> violations;
   std::int64_t starts = 0;
