--- a/tests/scheduling/lease_loop_test.cpp
+++ b/tests/scheduling/lease_loop_test.cpp
@@ -298,13 +298,8 @@
   std::vector<std::unique_ptr<Loop>> loops;
   int gains = 0;
   int losses = 0;
-<<<<<<< HEAD
-  DomainGain lastGain;
-=======
   bool isReleased = false;
-  std::int64_t lastTerm = 0;
-  std::int64_t lastRevision = 0;
->>>>>>> races
+  DomainGain lastGain;
   std::string lastHolder;
 };
 
