Join the takeover's value with the test of renamed queues

Cause: two parts changed the constructor of a holder and a test of it. Change: the test passes a DomainGain. Measured: tests of scheduling (94) and daemon (12) pass.

--- a/tests/scheduling/domain_term_test.cpp
+++ b/tests/scheduling/domain_term_test.cpp
@@ -175,14 +175,14 @@
    * its pending jobs from then on; none was counted there. */
   void PendingJobCountsAtRenamedQueue()
   {
-    const auto holder = std::make_shared<Holder>(this->context,
-                                                 this->store,
-                                                 this->orders,
-                                                 DomainTiming(),
-                                                 DomainPolicy(),
-                                                 kTerm,
-                                                 kTermRevision,
-                                                 this->MakeCallbacks());
+    const auto holder =
+      std::make_shared<Holder>(this->context,
+                               this->store,
+                               this->orders,
+                               DomainTiming(),
+                               DomainPolicy(),
+                               DomainGain{ kTerm, kTermRevision },
+                               this->MakeCallbacks());
     holder->Domain().AddJob(
       MakeAdmitted(kJob.Text(), 1, { Valid(QuarterStep(1)) }),
       std::nullopt,
