Ignore signals while a stopped host writes the rest of its log

The server removes its signal handlers when it is destroyed, and the process then still flushes its log, for half a second when the reader of the log is slow. A second SIGTERM or a SIGHUP in that time had the default action: the process ended by the signal instead of with exit code 0, and the last lines of its log were lost.

A signal set of the program takes over the signals before the server removes its own; the daemon of the project's own interface keeps its set as a member, so that there is no gap there either. SignalDuringTheLastLogLinesIsIgnored, where the log is a full pipe, failed before and passes now.

--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
@@ -33,6 +32,7 @@
   : settings(std::move(aSettings))
   , control(1)
   , controlWork(this->control.get_executor())
+  , stopSignals(this->control, SIGTERM, SIGINT)
   , stopTimer(this->control)
   , platform(this->control, this->settings.Platform())
   , peers(this->control, this->settings, *this)
@@ -70,12 +70,12 @@
   if (!this->peers.Start(aReason) || !this->StartServing(aReason)) {
     return false;
   }
-  boost::asio::signal_set signals(this->control, SIGTERM, SIGINT);
-  signals.async_wait([this](const boost::system::error_code& aError, int) {
-    if (!aError) {
-      this->Stop();
-    }
-  });
+  this->stopSignals.async_wait(
+    [this](const boost::system::error_code& aError, int) {
+      if (!aError) {
+        this->Stop();
+      }
+    });
   boost::asio::co_spawn(
     this->control, this->settingsManager.Run(), boost::asio::detached);
   this->minionMonitor.Start();
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <vector>
@@ -64,6 +65,7 @@
   boost::asio::io_context control;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     controlWork;
+  boost::asio::signal_set stopSignals;
   boost::asio::steady_timer stopTimer;
   PlatformLink platform;
   DaemonPeers peers;
--- a/daemon/sardinecoursed.cpp
+++ b/daemon/sardinecoursed.cpp
@@ -8,6 +8,8 @@
 #include "daemon/logging.h"
 #include "machines/host_settings.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
 #include <log4cplus/initializer.h>
@@ -29,9 +31,19 @@
 {
   Reason reason;
   bool isServed = false;
+  boost::asio::io_context context(1);
+  boost::asio::signal_set signals(context);
   {
     Server server(aParts...);
     isServed = server.Run(reason);
+    if (isServed) {
+      // The server's handlers end with it. A signal's default action would end
+      // the process before the log is written.
+      for (const int signal : { SIGTERM, SIGINT, SIGHUP }) {
+        boost::system::error_code ignored;
+        signals.add(signal, ignored);
+      }
+    }
   }
   if (isServed) {
     FlushLogAndExit();
--- a/tests/history/domain_test.cpp
+++ b/tests/history/domain_test.cpp
@@ -1,9 +1,16 @@
+#include "tests/harness/http_client.h"
+#include "tests/harness/loopback.h"
+#include "tests/harness/process.h"
 #include "tests/harness/site_deployment.h"
+#include "tests/harness/test_folder.h"
 #include "tests/harness/wait.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <thread>
+#include <unistd.h>
 
 namespace sardinecourse::harness {
 
@@ -13,6 +20,28 @@
 constexpr int kWorkers = 6;
 constexpr Milliseconds kMaxStopTime{ 6000 };
 constexpr Milliseconds kRunTimeout{ 15'000 };
+constexpr Milliseconds kSignalInterval{ 2 };
+
+/** A named pipe that is full, so that nothing more can be written to it. */
+class FullPipe
+{
+public:
+  explicit FullPipe(const std::string& aPath)
+  {
+    constexpr mode_t kMode = 0600;
+    ::mkfifo(aPath.c_str(), kMode);
+    this->descriptor = ::open(aPath.c_str(), O_RDWR | O_NONBLOCK);
+    const std::string bytes(512, ' ');
+    while (::write(this->descriptor, bytes.data(), bytes.size()) > 0) {
+    }
+  }
+  ~FullPipe() { ::close(this->descriptor); }
+  FullPipe(const FullPipe&) = delete;
+  FullPipe& operator=(const FullPipe&) = delete;
+
+private:
+  int descriptor = -1;
+};
 
 }
 
@@ -29,6 +58,7 @@
   CPPUNIT_TEST(LostOrderStartsNoTaskTwice);
   CPPUNIT_TEST(JobsAreFoundAfterStoreCompaction);
   CPPUNIT_TEST(PlannedStopHandsOverDomain);
+  CPPUNIT_TEST(SignalDuringTheLastLogLinesIsIgnored);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -152,6 +182,36 @@
     this->Check(site, 5);
   }
 
+  /** A reload or a second stop ended a process by the signal's default action
+   * while it wrote the rest of its log. */
+  void SignalDuringTheLastLogLinesIsIgnored()
+  {
+    for (const int signal : { SIGHUP, SIGTERM }) {
+      TestFolder folder;
+      const FullPipe log(folder.File("log"));
+      const Endpoint readiness = FreeEndpoint();
+      const std::string settings = folder.Write(
+        "host.yaml",
+        "name: h\ndata_centre: zone\ncallers: " + FreeEndpoint().Text() +
+          "\nreadiness: " + readiness.Text() + "\nmetrics: " +
+          FreeEndpoint().Text() + "\nstore: " + FreeEndpoint().Text() + "\n");
+      Process daemon(
+        "sardinecoursed", { "--settings", settings }, folder.File("log"));
+      constexpr int kNotReady = 503;
+      CPPUNIT_ASSERT(
+        WaitForHttp(readiness, "/api/ready", kNotReady, kRunTimeout));
+      daemon.Signal(SIGTERM);
+      const Instant until = Clock::now() + kMaxStopTime;
+      while (daemon.IsRunning() && Clock::now() < until) {
+        daemon.Signal(signal);
+        std::this_thread::sleep_for(kSignalInterval);
+      }
+      CPPUNIT_ASSERT(!daemon.IsRunning());
+      CPPUNIT_ASSERT_EQUAL(0, daemon.WaitForExit(Milliseconds(0)).value_or(-1));
+      folder.MarkPassed();
+    }
+  }
+
 private:
   static void WaitUntilAllReady(const SiteDeployment& aSite)
   {
