--- a/tests/scheduling/fake_row_store.h
+++ b/tests/scheduling/fake_row_store.h
@@ -4,6 +4,7 @@
 #include "contracts/commit_answer_builder.h"
 #include "contracts/row_page_builder.h"
 #include "contracts/table_row_builder.h"
+#include "contracts/table_transaction.h"
 #include "core/reason.h"
 #include "links/row_store.h"
 
@@ -28,6 +29,8 @@
   kLostApplied,
   /** The transaction never takes effect, and its answer is lost. */
   kLostUnapplied,
+  /** The answer is lost, and the transaction is processed by ApplyLate(). */
+  kLostLate,
   kNotWritten
 };
 
@@ -39,6 +42,8 @@
   std::deque<StoreFault> faults;
   /** Called once, before the next transaction is processed. */
   std::function<void()> beforeCommit;
+  /** Called in turn, one before each read. */
+  std::deque<std::function<void()>> beforeReads;
   int commits = 0;
   /** Transactions that exceeded a limit of the platform's store. */
   int refusals = 0;
@@ -48,6 +53,11 @@
                                                       std::string aTo,
                                                       Reason& aReason)
   {
+    if (!this->beforeReads.empty()) {
+      const auto hook = this->beforeReads.front();
+      this->beforeReads.pop_front();
+      hook();
+    }
     if (this->isDown) {
       aReason = Reason(Step::kPlatformRead, "fake", "down");
       co_return std::nullopt;
@@ -106,7 +116,10 @@
     if (this->isDown || fault == StoreFault::kNotWritten) {
       co_return MakeAnswer(WriteOutcome::kNotWritten);
     }
-    if (fault == StoreFault::kLostUnapplied) {
+    if (fault == StoreFault::kLostLate) {
+      this->late.push_back(aTransaction);
+    }
+    if (fault == StoreFault::kLostUnapplied || fault == StoreFault::kLostLate) {
       co_return MakeAnswer(WriteOutcome::kNotKnown);
     }
     if (!IsWithinLimits(aTransaction)) {
@@ -121,6 +134,17 @@
     co_return isCommitted ? this->Committed() : this->Conflict(aTransaction);
   }
 
+  /** Processes the oldest transaction that is late, if its conditions hold. */
+  void ApplyLate()
+  {
+    if (!this->late.empty()) {
+      const TableTransaction transaction = this->late.front();
+      this->late.pop_front();
+      this->Apply(transaction);
+    }
+  }
+  bool HasLate() const { return !this->late.empty(); }
+
   void Put(const std::string& aTable,
            const std::string& aKey,
            const std::string& aValue)
@@ -231,6 +255,7 @@
   }
 
   std::map<std::pair<std::string, std::string>, TableRow> rows;
+  std::deque<TableTransaction> late;
   std::int64_t revision = 0;
 };
 
