Refuse calls only after the store left one unanswered for a second

One call that failed at once, for example on a pooled connection that the store closed just then, made the thread refuse every call with 503 for a second, as if the store did not answer, unless another answer was on its way. When hundreds of callers ask for their jobs at the same time, each of them that reaches this thread is refused.

A call that fails before it has waited for a second now shows nothing about the store; a call that waited longer still does.

ClosedConnectionDoesNotRefuseOtherCalls failed before; the other tests of StoreHealth are unchanged. Not shown on processes: how often a connection closes at such a moment.

--- a/scheduling/store_health.cpp
+++ b/scheduling/store_health.cpp
@@ -21,8 +21,14 @@
 void
 StoreHealth::CallCompleted(std::uint64_t aCall, bool aIsAnswered, Instant aNow)
 {
+  const auto found = this->pending.find(aCall);
+  const Instant sentAt = found == this->pending.end() ? aNow : found->second;
   this->pending.erase(aCall);
-  this->unansweredAt = aIsAnswered ? Instant() : aNow;
+  if (aIsAnswered) {
+    this->unansweredAt = Instant();
+  } else if (aNow >= sentAt + kUnresponsiveAfter) {
+    this->unansweredAt = aNow;
+  }
 }
 
 bool
--- a/scheduling/store_health.h
+++ b/scheduling/store_health.h
@@ -14,7 +14,9 @@
 public:
   /** Records that a call is sent; returns its number for CallCompleted(). */
   std::uint64_t CallSent(Instant aNow);
-  /** Records the end of a call; a refusal counts as an answer. */
+  /** Records the end of a call; a refusal counts as an answer. A call that
+   * fails early, for example on a connection that the store has closed, shows
+   * nothing about the store. */
   void CallCompleted(std::uint64_t aCall, bool aIsAnswered, Instant aNow);
 
   /** Whether the store leaves calls unanswered, so that a call sent now would
@@ -24,7 +26,8 @@
 private:
   std::uint64_t lastCall = 0;
   std::map<std::uint64_t, Instant> pending;
-  /** When the last completed call ended, if it got no answer. */
+  /** When the last call without an answer was given up; empty once a call was
+   * answered after it. */
   Instant unansweredAt{};
 };
 
--- a/tests/scheduling/store_health_test.cpp
+++ b/tests/scheduling/store_health_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(SlowStoreIsNotUnresponsive);
   CPPUNIT_TEST(UnansweredCallMarksStoreUnresponsive);
   CPPUNIT_TEST(UnresponsiveStoreIsRetriedAfterTimeout);
+  CPPUNIT_TEST(ClosedConnectionDoesNotRefuseOtherCalls);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,6 +53,18 @@
     storeHealth.CallCompleted(storeHealth.CallSent(At(0)), false, At(1500));
     CPPUNIT_ASSERT(!storeHealth.IsUnresponsive(At(2600)));
   }
+
+  /** The store closes a connection just as a call is sent on it. All calls were
+   * then refused for a second, although the store answers on others. */
+  void ClosedConnectionDoesNotRefuseOtherCalls()
+  {
+    StoreHealth storeHealth;
+    storeHealth.CallCompleted(storeHealth.CallSent(At(0)), false, At(5));
+    CPPUNIT_ASSERT(!storeHealth.IsUnresponsive(At(10)));
+    storeHealth.CallCompleted(storeHealth.CallSent(At(20)), false, At(1520));
+    storeHealth.CallCompleted(storeHealth.CallSent(At(1530)), false, At(1540));
+    CPPUNIT_ASSERT(storeHealth.IsUnresponsive(At(1550)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreHealthTest);
