Read a job's state again after a failed read

A GET for a job, or for a queue's pending jobs, was answered 503 as soon as one read of the store failed, with seconds of the caller's time left.

The read is now made up to three times, 60 ms apart, while the caller has time and the store doesn't leave calls unanswered. A host that cannot read still refuses soon, so that the caller can ask another one.

JobIsShownAfterAFailedRead failed before. UnreadableStoreRefusesShowSoon passed before and after.

--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -81,7 +81,7 @@
         reply = co_await this->Cancel(aCall, *callContext);
         break;
       case JobCall::Kind::kShow:
-        reply = co_await this->Show(*callContext);
+        reply = co_await this->ShowWithRetries(aCall, *callContext);
         break;
       case JobCall::Kind::kOther:
         reply = Refuse(JobReply::Kind::kMalformed, "no such method");
@@ -103,6 +103,10 @@
    * sent. */
   static constexpr Milliseconds kAnswerMargin{ 100 };
   static constexpr Milliseconds kRetryPause{ 60 };
+  /** Number of times that a caller's question is read from the store. A host
+   * that cannot read refuses soon, while the caller has time left to ask
+   * another one. */
+  static constexpr int kMaxReads = 3;
   /** Time after which a refused caller should retry. An outage of the store or
    * of the path to it lasts seconds, and another host may be able to
    * serve the call. */
@@ -344,6 +348,24 @@
     return this->ResolveCallIn(*catalog, aCall, aReply);
   }
 
+  /** Repeats a read that fails, unless the store leaves calls unanswered. */
+  boost::asio::awaitable<JobReply> ShowWithRetries(JobCall aCall,
+                                                   CallContext aCallContext)
+  {
+    JobReply reply = co_await this->Show(aCallContext);
+    for (int reads = 1;
+         reads < kMaxReads && reply.kind == JobReply::Kind::kNotRun;
+         ++reads) {
+      co_await Pause(*this->context, kRetryPause);
+      if (!this->IsTimeLeft(aCall) ||
+          this->storeHealth.IsUnresponsive(Clock::now())) {
+        break;
+      }
+      reply = co_await this->Show(aCallContext);
+    }
+    co_return reply;
+  }
+
   boost::asio::awaitable<JobReply> Show(CallContext aCallContext)
   {
     if (aCallContext.job.Empty()) {
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -60,6 +60,8 @@
   CPPUNIT_TEST(JobOfRenamedQueueIsShownAndCancelled);
   CPPUNIT_TEST(JobOfMovedQueueIsShown);
   CPPUNIT_TEST(JobOfAnotherQueueIsNoJob);
+  CPPUNIT_TEST(JobIsShownAfterAFailedRead);
+  CPPUNIT_TEST(UnreadableStoreRefusesShowSoon);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -277,6 +279,33 @@
                    this->Send(JobCall::Kind::kShow).kind);
   }
 
+  /** A read fails once, for example on a connection that the store closes at
+   * that moment. The caller was told to come back, although the store answers.
+   */
+  void JobIsShownAfterAFailedRead()
+  {
+    this->Submit();
+    for (const char* path : { kPath, "/one/" }) {
+      this->store.failingReads = 1;
+      JobCall call = this->MakeCall(JobCall::Kind::kShow);
+      call.path = path;
+      CPPUNIT_ASSERT(JobReply::Kind::kNotRun != this->Serve(call).kind);
+      CPPUNIT_ASSERT_EQUAL(0, this->store.failingReads);
+    }
+  }
+
+  /** The caller must have time left to ask another host. */
+  void UnreadableStoreRefusesShowSoon()
+  {
+    this->Submit();
+    this->store.isDown = true;
+    JobCall call = this->MakeCall(JobCall::Kind::kShow);
+    const Instant sentAt = Clock::now();
+    call.deadline = sentAt + Milliseconds(3000);
+    CPPUNIT_ASSERT(JobReply::Kind::kNotRun == this->Serve(call).kind);
+    CPPUNIT_ASSERT(Clock::now() < sentAt + Milliseconds(750));
+  }
+
 private:
   /** Stores a configuration and publishes it on this host. */
   void Configure(const std::string& aText)
--- a/tests/scheduling/fake_row_store.h
+++ b/tests/scheduling/fake_row_store.h
@@ -40,6 +40,8 @@
 public:
   bool isDown = false;
   std::deque<StoreFault> faults;
+  /** Number of reads that fail next. */
+  int failingReads = 0;
   /** Called once, before the next transaction is processed. */
   std::function<void()> beforeCommit;
   /** Called in turn, one before each read. */
@@ -62,6 +64,11 @@
       aReason = Reason(Step::kPlatformRead, "fake", "down");
       co_return std::nullopt;
     }
+    if (this->failingReads > 0) {
+      --this->failingReads;
+      aReason = Reason(Step::kUpstreamReceive, "fake", "end of stream");
+      co_return std::nullopt;
+    }
     std::vector<TableRow> found;
     for (const auto& [name, row] : this->rows) {
       const bool isInRange = name.first == aTable && name.second >= aFrom &&
