--- a/tests/harness/site_deployment.cpp
+++ b/tests/harness/site_deployment.cpp
@@ -21,10 +21,11 @@
 json
 Configuration(const std::string& aHost,
               std::int64_t aVersion,
-              int aFurtherQueues)
+              int aFurtherQueues,
+              const std::string& aName = "r1")
 {
   const json queue = {
-    { "Name", "r1" },    { "Host", aHost },           { "PathPrefix", "/one/" },
+    { "Name", aName },   { "Host", aHost },           { "PathPrefix", "/one/" },
     { "Service", "s1" }, { "Priority", 1 },           { "MaxAttempts", 3 },
     { "Stretch", 3.0 },  { "TargetDurationMs", 1000 }
   };
@@ -141,6 +142,13 @@
                 Configuration(this->site.Ip(), aVersion, aFurtherQueues));
 }
 
+void
+SiteDeployment::RenameQueue(std::int64_t aVersion,
+                            const std::string& aName) const
+{
+  this->Control("config", Configuration(this->site.Ip(), aVersion, 0, aName));
+}
+
 void
 SiteDeployment::PrepareJob(const std::string& aJob,
                            int aMembers,
--- a/tests/harness/site_deployment.h
+++ b/tests/harness/site_deployment.h
@@ -37,6 +37,8 @@
                          const nlohmann::json& aBody) const;
   /** Writes a version of the configuration with aFurtherQueues more queues. */
   void Configure(std::int64_t aVersion, int aFurtherQueues) const;
+  /** Writes a version in which the queue under "/one/" has another name. */
+  void RenameQueue(std::int64_t aVersion, const std::string& aName) const;
   /** Endpoint at which the host serves callers. */
   const Endpoint& Callers(std::size_t aHost) const
   {
