Log the steps of a planned stop with the time since its signal

A host that outlived its grace time logged "stopping" and nothing else until "stopped". Each step is now an event with the time since the signal, and the drain of each thread has the numbers of its connections by what they do.

--- a/daemon/caller_thread.cpp
+++ b/daemon/caller_thread.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller_thread.h"
 
 #include "contracts/domain_host_settings.h"
+#include "scheduling/event_line.h"
 
 namespace sardinecourse {
 
@@ -51,9 +52,19 @@
 }
 
 void
-CallerThread::Drain()
+CallerThread::Drain(Instant aStopRequested)
 {
-  boost::asio::post(this->context, [this] {
+  boost::asio::post(this->context, [this, aStopRequested] {
+    const auto elapsed =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - aStopRequested);
+    const ConnectionCounts open = this->server.OpenConnections();
+    EventLine("stop_step")
+      .Field("step", "drain")
+      .Field("since_ms", elapsed.count())
+      .Field("idle", open.idle)
+      .Field("reading", open.reading)
+      .Field("answering", open.answering)
+      .Emit();
     this->server.Drain();
     this->work.reset();
   });
--- a/daemon/caller_thread.h
+++ b/daemon/caller_thread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/instant.h"
 #include "core/rcu_thread.h"
 #include "core/reason.h"
 #include "links/http_server.h"
@@ -43,8 +44,8 @@
    * served. */
   void CloseAfterAnswers();
   /** Accepts no new connections, closes the open ones after their pending
-   * answers, and then ends the thread. */
-  void Drain();
+   * answers, and then ends the thread. aStopRequested is logged. */
+  void Drain(Instant aStopRequested);
   /** Blocks until the thread has ended. */
   void Join();
 
--- a/daemon/domain_daemon.cpp
+++ b/daemon/domain_daemon.cpp
@@ -84,6 +84,7 @@
   for (const std::unique_ptr<CallerThread>& thread : this->servingThreads) {
     thread->Join();
   }
+  this->LogStopStep("threads_joined");
   EventLine("stopped").Field("host", this->host.Name().Text()).Emit();
   return true;
 }
@@ -138,22 +139,37 @@
 boost::asio::awaitable<void>
 DomainDaemon::Stop()
 {
+  this->stopRequested = Clock::now();
   EventLine("stopping").Field("host", this->host.Name().Text()).Emit();
   this->isDraining = true;
   for (const std::unique_ptr<CallerThread>& thread : this->servingThreads) {
     thread->CloseAfterAnswers();
   }
   co_await this->lease.Release();
+  this->LogStopStep("released");
   co_await Pause(this->control, kReadinessGrace);
+  this->LogStopStep("readiness_grace_over");
   for (const std::unique_ptr<CallerThread>& thread : this->servingThreads) {
-    thread->Drain();
+    thread->Drain(this->stopRequested);
   }
 }
 
+void
+DomainDaemon::LogStopStep(const char* aStep) const
+{
+  const auto elapsed = std::chrono::duration_cast<Milliseconds>(
+    Clock::now() - this->stopRequested);
+  EventLine("stop_step")
+    .Field("step", aStep)
+    .Field("since_ms", elapsed.count())
+    .Emit();
+}
+
 void
 DomainDaemon::OnServingThreadEnded()
 {
   ++this->endedThreads;
+  this->LogStopStep("thread_ended");
   if (this->endedThreads == this->servingThreads.size()) {
     this->control.stop();
   }
--- a/daemon/domain_daemon.h
+++ b/daemon/domain_daemon.h
@@ -53,6 +53,8 @@
   void AwaitStop();
   void AwaitReload();
   boost::asio::awaitable<void> Stop();
+  /** Logs that a step of the stop is done, with the time since the signal. */
+  void LogStopStep(const char* aStep) const;
   void OnServingThreadEnded();
   bool IsReady() const;
   void OnDomainGained(std::int64_t aTerm, std::int64_t aTermRevision);
@@ -77,6 +79,7 @@
   LeaseThread lease;
   std::size_t endedThreads = 0;
   bool isDraining = false;
+  Instant stopRequested{};
 };
 
 }
--- a/links/http_server.h
+++ b/links/http_server.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 #include "core/reason.h"
+#include "links/connection_counts.h"
 #include "links/http_message.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -105,7 +106,20 @@
     }
   }
 
-  std::size_t OpenConnections() const { return this->sessions.size(); }
+  ConnectionCounts OpenConnections() const
+  {
+    ConnectionCounts counts;
+    for (Session* session : this->sessions) {
+      if (session->busy) {
+        ++counts.answering;
+      } else if (session->HasPartialRequest()) {
+        ++counts.reading;
+      } else {
+        ++counts.idle;
+      }
+    }
+    return counts;
+  }
 
 private:
   struct Session
