Give a planned stop one budget that all its steps draw on

What callers saw: a host that was told to stop outlived the 6 s until SIGKILL when some of its connections were idle or carried part of a request, and the kill then ended requests that the host had read, without an answer.

Cause: each step of a stop had a timeout of its own, and none knew the time of the signal. The lease's release preceded the readiness grace (2.2 s), which preceded the drain (5 s). The drain set new expiries on streams whose read was waiting; Beast applies an expiry to later operations only, so partial requests and unread answers kept the idle timeout of 75 s. Sessions that had been accepted a moment before were not yet in the list that the drain went through.

Change: StopBudget is made at the signal from the grace time, which is a new setting (grace_s). Release, readiness grace, reading of requests, answers, retries of calls, the servers of readiness and metrics and the end of the threads take their times from it. The drain ends connections by their state, which every session has from its acceptance on; a request without an answer at the end is answered with 504. The release runs beside the other steps. At the end of the budget the process ends with whatever is not done. The daemon with an interface of its own stops in the same way.

--- a/codecs/domain_host_settings_yaml.cpp
+++ b/codecs/domain_host_settings_yaml.cpp
@@ -84,6 +84,7 @@
     reader.Integer("threads", kDefaultThreads, 1, kMaxThreads)));
   host.ShareOfCore(reader.Number(
     "core_share", kDefaultCoreShare, kMinCoreShare, kMaxCoreShare));
+  host.GraceTime(ReadGraceTime(reader, DomainHostSettings().GraceTime()));
   host.LogLevel(ReadLogLevel(reader));
   const std::optional<DomainTiming> timing = ReadTiming(reader, aReason);
   std::optional<DomainPolicy> policy = DomainPolicy();
--- a/codecs/host_settings_yaml.cpp
+++ b/codecs/host_settings_yaml.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::int64_t kMaxThreads = 256;
 constexpr std::int64_t kDefaultThreads = 2;
+constexpr double kMinGraceS = 1.0;
+constexpr double kMaxGraceS = 3600.0;
 
 EntryHostBuilder
 ReadHost(YamlReader& aReader)
@@ -63,6 +65,17 @@
   return level;
 }
 
+Milliseconds
+ReadGraceTime(YamlReader& aReader, Milliseconds aDefault)
+{
+  const std::chrono::duration<double> seconds(
+    aReader.Number("grace_s",
+                   std::chrono::duration<double>(aDefault).count(),
+                   kMinGraceS,
+                   kMaxGraceS));
+  return std::chrono::round<Milliseconds>(seconds);
+}
+
 std::optional<HostSettings>
 DecodeHostSettings(const std::string& aText,
                    const std::string& aFile,
@@ -83,6 +96,7 @@
   settings.Peers(seeds);
   settings.Threads(static_cast<std::int32_t>(
     reader.Integer("threads", kDefaultThreads, 1, kMaxThreads)));
+  settings.GraceTime(ReadGraceTime(reader, HostSettings().GraceTime()));
   settings.LogLevel(ReadLogLevel(reader));
   settings.LogFile(reader.Text("log_file", ""));
   if (!reader.Finish(aReason)) {
--- a/codecs/host_settings_yaml.h
+++ b/codecs/host_settings_yaml.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/instant.h"
+
 #include <optional>
 #include <string>
 
@@ -21,4 +23,9 @@
 std::string
 ReadLogLevel(YamlReader& aReader);
 
+/** Reads "grace_s", the seconds from SIGTERM until the process is killed;
+ * aDefault when it is absent. */
+Milliseconds
+ReadGraceTime(YamlReader& aReader, Milliseconds aDefault);
+
 }
--- a/contracts/domain_host_settings.h
+++ b/contracts/domain_host_settings.h
@@ -3,6 +3,7 @@
 #include "contracts/domain_policy.h"
 #include "contracts/domain_timing.h"
 #include "core/endpoint.h"
+#include "core/instant.h"
 #include "core/names.h"
 
 #include <compare>
@@ -31,6 +32,8 @@
   std::int32_t Threads() const { return this->threads; }
   /** Share of one core that this host may use, from 0 to 1. */
   double ShareOfCore() const { return this->shareOfCore; }
+  /** Time from SIGTERM until the process is killed. */
+  Milliseconds GraceTime() const { return this->graceTime; }
   /** Name of a log4cplus level. */
   const std::string& LogLevel() const { return this->logLevel; }
   const DomainTiming& Timing() const { return this->timing; }
@@ -49,6 +52,7 @@
   Endpoint store;
   std::int32_t threads = 1;
   double shareOfCore = 1.0;
+  Milliseconds graceTime{ 6000 };
   std::string logLevel = "INFO";
   DomainTiming timing;
   DomainPolicy policy;
--- a/contracts/domain_host_settings_builder.cpp
+++ b/contracts/domain_host_settings_builder.cpp
@@ -62,6 +62,13 @@
   return *this;
 }
 
+DomainHostSettingsBuilder&
+DomainHostSettingsBuilder::GraceTime(Milliseconds aGraceTime)
+{
+  this->value.graceTime = aGraceTime;
+  return *this;
+}
+
 DomainHostSettingsBuilder&
 DomainHostSettingsBuilder::LogLevel(std::string aLogLevel)
 {
@@ -100,6 +107,10 @@
       Reason(Step::kSettings, "", "a host needs the address of the store");
     return std::nullopt;
   }
+  if (this->value.graceTime <= Milliseconds(0)) {
+    aReason = Reason(Step::kSettings, "", "a host needs a grace time");
+    return std::nullopt;
+  }
   return this->value;
 }
 
--- a/contracts/domain_host_settings_builder.h
+++ b/contracts/domain_host_settings_builder.h
@@ -10,7 +10,7 @@
 
 /** Builds a DomainHostSettings. Build() returns nullopt and sets aReason if the
  * name, the callers' or readiness address, or the store's address is
- * missing. */
+ * missing, or if the grace time is not positive. */
 class DomainHostSettingsBuilder
 {
 public:
@@ -22,6 +22,7 @@
   DomainHostSettingsBuilder& Store(Endpoint aStore);
   DomainHostSettingsBuilder& Threads(std::int32_t aThreads);
   DomainHostSettingsBuilder& ShareOfCore(double aShareOfCore);
+  DomainHostSettingsBuilder& GraceTime(Milliseconds aGraceTime);
   DomainHostSettingsBuilder& LogLevel(std::string aLogLevel);
   DomainHostSettingsBuilder& Timing(DomainTiming aTiming);
   DomainHostSettingsBuilder& Policy(DomainPolicy aPolicy);
--- a/daemon/caller_thread.cpp
+++ b/daemon/caller_thread.cpp
@@ -45,31 +45,38 @@
 }
 
 void
-CallerThread::CloseAfterAnswers()
+CallerThread::CloseAfterAnswers(const StopBudget& aBudget)
 {
-  boost::asio::post(this->context,
-                    [this] { this->server.CloseAfterAnswers(); });
+  boost::asio::post(this->context, [this, aBudget] {
+    this->server.CloseAfterAnswers();
+    this->jobApi.AnswerBy(aBudget.AnswerEnd());
+  });
 }
 
 void
-CallerThread::Drain(Instant aStopRequested)
+CallerThread::Drain(const StopBudget& aBudget)
 {
-  boost::asio::post(this->context, [this, aStopRequested] {
-    const auto elapsed =
-      std::chrono::duration_cast<Milliseconds>(Clock::now() - aStopRequested);
+  boost::asio::post(this->context, [this, aBudget] {
     const ConnectionCounts open = this->server.OpenConnections();
     EventLine("stop_step")
       .Field("step", "drain")
-      .Field("since_ms", elapsed.count())
+      .Field("since_ms", aBudget.Elapsed(Clock::now()).count())
       .Field("idle", open.idle)
       .Field("reading", open.reading)
       .Field("answering", open.answering)
       .Emit();
-    this->server.Drain();
+    boost::asio::co_spawn(
+      this->context, this->server.Drain(aBudget), boost::asio::detached);
     this->work.reset();
   });
 }
 
+void
+CallerThread::Abandon()
+{
+  this->context.stop();
+}
+
 void
 CallerThread::Join()
 {
--- a/daemon/caller_thread.h
+++ b/daemon/caller_thread.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "core/instant.h"
 #include "core/rcu_thread.h"
 #include "core/reason.h"
+#include "core/stop_budget.h"
 #include "links/http_server.h"
 #include "platform/ingress.h"
 #include "platform/schema.h"
@@ -40,12 +40,14 @@
   /** Listens and starts the thread, which calls aOnEnded after its last answer.
    * False, with the reason, when it cannot listen. */
   bool Start(std::function<void()> aOnEnded, Reason& aReason);
-  /** Closes each connection after its next answer; new connections are still
-   * served. */
-  void CloseAfterAnswers();
+  /** Begins a stop: closes each connection after its next answer; new
+   * connections are still served. */
+  void CloseAfterAnswers(const StopBudget& aBudget);
   /** Accepts no new connections, closes the open ones after their pending
-   * answers, and then ends the thread. aStopRequested is logged. */
-  void Drain(Instant aStopRequested);
+   * answers, and then ends the thread; see HttpServer::Drain(). */
+  void Drain(const StopBudget& aBudget);
+  /** Ends the thread although calls are not answered. */
+  void Abandon();
   /** Blocks until the thread has ended. */
   void Join();
 
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <functional>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <utility>
@@ -19,14 +20,26 @@
 
 namespace {
 
-/** Time for the balancer to notice that this host is no longer ready. */
-constexpr Milliseconds kReadinessGrace{ 2000 };
 /** Time for the final claims of the last requests to be written. */
 constexpr Milliseconds kClaimWriteGrace{ 1000 };
 /** How long a starting host waits for the platform before it accepts settings
  * from its peers. */
 constexpr Milliseconds kPlatformWait{ 2000 };
 
+void
+RunAt(boost::asio::steady_timer& aTimer,
+      Instant aInstant,
+      std::function<void()> aAction)
+{
+  aTimer.expires_after(aInstant - Clock::now());
+  aTimer.async_wait(
+    [action = std::move(aAction)](const boost::system::error_code& aError) {
+      if (!aError) {
+        action();
+      }
+    });
+}
+
 }
 
 Daemon::Daemon(HostSettings aSettings)
@@ -34,6 +47,7 @@
   , control(1)
   , controlWork(this->control.get_executor())
   , stopTimer(this->control)
+  , budgetTimer(this->control)
   , platform(this->control, this->settings.Platform())
   , peers(this->control, this->settings, *this)
   , adopter([this](const Fleet& aFleet) { this->Adopt(aFleet); })
@@ -160,8 +174,8 @@
 void
 Daemon::Stop()
 {
-  LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"),
-                 "planned_stop step=readiness_off");
+  this->stopBudget = StopBudget(Clock::now(), this->settings.GraceTime());
+  this->LogStopStep("readiness_off");
   this->requests.readiness.StartDraining();
   this->peers.AnnounceLeaving();
   boost::asio::co_spawn(
@@ -169,21 +183,24 @@
   for (const std::unique_ptr<ServingThread>& thread : this->servingThreads) {
     thread->CloseAfterAnswers();
   }
-  this->stopTimer.expires_after(kReadinessGrace);
-  this->stopTimer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      this->DrainServing();
+  RunAt(this->stopTimer, this->stopBudget.DrainStart(), [this] {
+    this->DrainServing();
+  });
+  RunAt(this->budgetTimer, this->stopBudget.End(), [this] {
+    this->LogStopStep("budget_over");
+    for (const std::unique_ptr<ServingThread>& thread : this->servingThreads) {
+      thread->Abandon();
     }
+    this->End();
   });
 }
 
 void
 Daemon::DrainServing()
 {
-  LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"),
-                 "planned_stop step=drain");
+  this->LogStopStep("drain");
   for (const std::unique_ptr<ServingThread>& thread : this->servingThreads) {
-    thread->Drain();
+    thread->Drain(this->stopBudget);
   }
 }
 
@@ -195,16 +212,27 @@
     return;
   }
   // The claims of the last requests may still be on their way to the
-  // platform's table.
-  this->stopTimer.expires_after(kClaimWriteGrace);
-  this->stopTimer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"),
-                     "planned_stop step=done");
-      this->peers.Stop();
-      this->control.stop();
-    }
+  // platform's table. The budget's timer bounds this time.
+  RunAt(this->stopTimer, Clock::now() + kClaimWriteGrace, [this] {
+    this->LogStopStep("done");
+    this->End();
   });
 }
 
+void
+Daemon::LogStopStep(const char* aStep) const
+{
+  LOG4CPLUS_INFO(log4cplus::Logger::getInstance("daemon"),
+                 "planned_stop step="
+                   << aStep << " since_ms="
+                   << this->stopBudget.Elapsed(Clock::now()).count());
+}
+
+void
+Daemon::End()
+{
+  this->peers.Stop();
+  this->control.stop();
+}
+
 }
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/stop_budget.h"
 #include "daemon/daemon_peers.h"
 #include "daemon/host_settings_manager.h"
 #include "daemon/job_service.h"
@@ -59,12 +60,17 @@
   void Stop();
   void DrainServing();
   void OnServingThreadEnded();
+  void LogStopStep(const char* aStep) const;
+  /** Ends the control loop. */
+  void End();
 
   HostSettings settings;
   boost::asio::io_context control;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     controlWork;
   boost::asio::steady_timer stopTimer;
+  /** Ends the process with steps of the stop that are not done. */
+  boost::asio::steady_timer budgetTimer;
   PlatformLink platform;
   DaemonPeers peers;
   FleetAdopter adopter;
@@ -77,6 +83,7 @@
   JobService jobs;
   std::vector<std::unique_ptr<ServingThread>> servingThreads;
   std::size_t endedThreads = 0;
+  StopBudget stopBudget;
 };
 
 }
--- a/daemon/domain_daemon.cpp
+++ b/daemon/domain_daemon.cpp
@@ -3,6 +3,7 @@
 #include "core/rcu_thread.h"
 #include "core/reason.h"
 #include "daemon/caller_thread.h"
+#include "links/when_all.h"
 #include "scheduling/event_line.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,9 +16,6 @@
 
 namespace {
 
-/** The balancer probes every second and removes a host after two failed
- * probes. */
-constexpr Milliseconds kReadinessGrace{ 2200 };
 /** A host whose catalog was last confirmed longer ago cannot reach the store,
  * so the balancer should send callers to other hosts. */
 constexpr Milliseconds kMaxReadyConfirmationAge{ 2400 };
@@ -134,34 +132,58 @@
     });
 }
 
-/** Releases the domain's lease first, so that another host takes over while
- * this one finishes its calls. */
 boost::asio::awaitable<void>
 DomainDaemon::Stop()
 {
-  this->stopRequested = Clock::now();
+  this->stopBudget = StopBudget(Clock::now(), this->host.GraceTime());
   EventLine("stopping").Field("host", this->host.Name().Text()).Emit();
   this->isDraining = true;
   for (const std::unique_ptr<CallerThread>& thread : this->servingThreads) {
-    thread->CloseAfterAnswers();
+    thread->CloseAfterAnswers(this->stopBudget);
   }
+  boost::asio::co_spawn(
+    this->control, this->ReleaseLease(), boost::asio::detached);
+  boost::asio::co_spawn(
+    this->control, this->EndWithBudget(), boost::asio::detached);
+  const Milliseconds grace = std::chrono::ceil<Milliseconds>(
+    this->stopBudget.DrainStart() - Clock::now());
+  co_await Pause(this->control, grace);
+  this->LogStopStep("readiness_grace_over");
+  for (const std::unique_ptr<CallerThread>& thread : this->servingThreads) {
+    thread->Drain(this->stopBudget);
+  }
+}
+
+/** Another host takes over while this one finishes its calls. */
+boost::asio::awaitable<void>
+DomainDaemon::ReleaseLease()
+{
   co_await this->lease.Release();
+  this->isLeaseReleased = true;
   this->LogStopStep("released");
-  co_await Pause(this->control, kReadinessGrace);
-  this->LogStopStep("readiness_grace_over");
+  this->EndIfDone();
+}
+
+/** Ends the control loop, and thereby the process, with steps that are not
+ * done. */
+boost::asio::awaitable<void>
+DomainDaemon::EndWithBudget()
+{
+  const Milliseconds left = this->stopBudget.TimeLeft(Clock::now());
+  co_await Pause(this->control, left);
+  this->LogStopStep("budget_over");
   for (const std::unique_ptr<CallerThread>& thread : this->servingThreads) {
-    thread->Drain(this->stopRequested);
+    thread->Abandon();
   }
+  this->control.stop();
 }
 
 void
 DomainDaemon::LogStopStep(const char* aStep) const
 {
-  const auto elapsed = std::chrono::duration_cast<Milliseconds>(
-    Clock::now() - this->stopRequested);
   EventLine("stop_step")
     .Field("step", aStep)
-    .Field("since_ms", elapsed.count())
+    .Field("since_ms", this->stopBudget.Elapsed(Clock::now()).count())
     .Emit();
 }
 
@@ -170,11 +192,29 @@
 {
   ++this->endedThreads;
   this->LogStopStep("thread_ended");
-  if (this->endedThreads == this->servingThreads.size()) {
-    this->control.stop();
+  this->EndIfDone();
+}
+
+void
+DomainDaemon::EndIfDone()
+{
+  if (this->isLeaseReleased &&
+      this->endedThreads == this->servingThreads.size()) {
+    boost::asio::co_spawn(
+      this->control, this->EndControl(), boost::asio::detached);
   }
 }
 
+boost::asio::awaitable<void>
+DomainDaemon::EndControl()
+{
+  std::vector<boost::asio::awaitable<void>> drains;
+  drains.push_back(this->readinessServer.Drain(this->stopBudget));
+  drains.push_back(this->metricsServer.Drain(this->stopBudget));
+  co_await WhenAll(this->control, std::move(drains));
+  this->control.stop();
+}
+
 bool
 DomainDaemon::IsReady() const
 {
--- a/daemon/domain_daemon.h
+++ b/daemon/domain_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "contracts/domain_host_settings.h"
+#include "core/stop_budget.h"
 #include "daemon/lease_thread.h"
 #include "daemon/metrics_handler.h"
 #include "links/http_server.h"
@@ -52,10 +53,19 @@
   bool StartServing(Reason& aReason);
   void AwaitStop();
   void AwaitReload();
+  /** Stops within the host's grace time. */
   boost::asio::awaitable<void> Stop();
+  boost::asio::awaitable<void> ReleaseLease();
+  boost::asio::awaitable<void> EndWithBudget();
+  /** Answers the last checks of readiness and calls for metrics, then ends the
+   * control loop. */
+  boost::asio::awaitable<void> EndControl();
   /** Logs that a step of the stop is done, with the time since the signal. */
   void LogStopStep(const char* aStep) const;
   void OnServingThreadEnded();
+  /** Begins the end of the control loop once the lease is released and every
+   * serving thread has ended. */
+  void EndIfDone();
   bool IsReady() const;
   void OnDomainGained(std::int64_t aTerm, std::int64_t aTermRevision);
   void OnDomainLost();
@@ -79,7 +89,8 @@
   LeaseThread lease;
   std::size_t endedThreads = 0;
   bool isDraining = false;
-  Instant stopRequested{};
+  bool isLeaseReleased = false;
+  StopBudget stopBudget;
 };
 
 }
--- a/daemon/serving_thread.cpp
+++ b/daemon/serving_thread.cpp
@@ -51,15 +51,22 @@
 }
 
 void
-ServingThread::Drain()
+ServingThread::Drain(const StopBudget& aBudget)
 {
-  boost::asio::post(this->context, [this] {
-    this->server.Drain();
+  boost::asio::post(this->context, [this, aBudget] {
+    boost::asio::co_spawn(
+      this->context, this->server.Drain(aBudget), boost::asio::detached);
     this->idleCheckTimer.cancel();
     this->work.reset();
   });
 }
 
+void
+ServingThread::Abandon()
+{
+  this->context.stop();
+}
+
 void
 ServingThread::Join()
 {
--- a/daemon/serving_thread.h
+++ b/daemon/serving_thread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/stop_budget.h"
 #include "daemon/front_end.h"
 #include "links/http_server.h"
 
@@ -35,8 +36,10 @@
    * served. */
   void CloseAfterAnswers();
   /** Accepts no new connections, closes the open ones after their pending
-   * answers, and then ends the thread. */
-  void Drain();
+   * answers, and then ends the thread; see HttpServer::Drain(). */
+  void Drain(const StopBudget& aBudget);
+  /** Ends the thread although requests are not answered. */
+  void Abandon();
   /** Blocks until the thread has ended, which it does once drained. */
   void Join();
 
--- a/links/http_server.h
+++ b/links/http_server.h
@@ -1,16 +1,21 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/instant.h"
 #include "core/reason.h"
+#include "core/stop_budget.h"
 #include "links/connection_counts.h"
 #include "links/http_message.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -47,6 +52,7 @@
     : context(&aContext)
     , handler(&aHandler)
     , acceptor(aContext)
+    , drainTimer(aContext)
   {
   }
 
@@ -84,35 +90,37 @@
    * accepted. */
   void CloseAfterAnswers() { this->closing = true; }
 
-  /** Stops accepting connections; closes each open one after its current
-   * answer, and idle ones at once. A request that has begun to arrive is still
-   * read, within kDrainTimeout, and answered. */
-  void Drain()
+  /** Stops accepting connections and returns once none is open. Idle ones are
+   * closed at once, the others after their answer. A request that has begun to
+   * arrive is read until aBudget.ReadEnd(). A request that has no answer by
+   * aBudget.AnswerEnd() is answered with 504, and a connection whose answer is
+   * not written by then is closed. */
+  boost::asio::awaitable<void> Drain(StopBudget aBudget)
   {
     boost::system::error_code ignored;
     this->closing = true;
     this->draining = true;
     this->AcceptPending();
     this->acceptor.close(ignored);
-    for (Session* session : this->sessions) {
-      if (session->busy) {
-        continue;
-      }
-      session->stream.expires_after(kDrainTimeout);
-      if (!session->HasPartialRequest()) {
-        session->stream.socket().shutdown(
-          boost::asio::ip::tcp::socket::shutdown_receive, ignored);
-      }
-    }
+    // A connection whose accept has completed is opened first.
+    co_await boost::asio::post(*this->context, boost::asio::use_awaitable);
+    const Instant start = Clock::now();
+    this->CloseIdle(start - kFirstByteTime);
+    co_await this->SleepUntil(start + kFirstByteTime);
+    this->CloseIdle(Clock::now());
+    co_await this->SleepUntil(aBudget.ReadEnd());
+    this->EndReading();
+    co_await this->SleepUntil(aBudget.AnswerEnd());
+    this->EndAnswering();
   }
 
   ConnectionCounts OpenConnections() const
   {
     ConnectionCounts counts;
-    for (Session* session : this->sessions) {
-      if (session->busy) {
+    for (const Session& session : this->sessions) {
+      if (session.state != State::kReading) {
         ++counts.answering;
-      } else if (session->HasPartialRequest()) {
+      } else if (session.HasPartialRequest()) {
         ++counts.reading;
       } else {
         ++counts.idle;
@@ -122,6 +130,14 @@
   }
 
 private:
+  enum class State : std::uint8_t
+  {
+    /** Waits for a request or reads it. */
+    kReading,
+    kHandling,
+    kWriting
+  };
+
   struct Session
   {
     explicit Session(boost::asio::ip::tcp::socket aSocket)
@@ -131,7 +147,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     /** True if any byte of the next request has arrived. */
-    bool HasPartialRequest()
+    bool HasPartialRequest() const
     {
       boost::system::error_code ignored;
       return this->buffer.size() > 0 ||
@@ -140,14 +156,19 @@
     }
     boost::beast::http::request_parser<boost::beast::http::string_body>*
       parser = nullptr;
-    bool busy = false;
+    State state = State::kReading;
+    Instant openedAt = Clock::now();
   };
+  using Sessions = std::list<Session>;
 
   static constexpr int kBacklog = 4096;
+  static constexpr int kGatewayTimeout = 504;
   static constexpr std::uint64_t kBodyLimitBytes = 64ULL << 20U;
   static constexpr std::uint32_t kHeaderLimitBytes = 64U << 10U;
   static constexpr std::chrono::seconds kIdleTimeout{ 75 };
-  static constexpr std::chrono::seconds kDrainTimeout{ 5 };
+  /** Time in which the first byte of a request must arrive on a connection that
+   * is new when the drain starts. */
+  static constexpr Milliseconds kFirstByteTime{ 100 };
 
   /** Accepts the connections that are queued in the kernel; closing the
    * listening socket would reset them. */
@@ -159,9 +180,7 @@
       boost::asio::ip::tcp::socket socket(*this->context);
       this->acceptor.accept(socket, error);
       if (!error) {
-        boost::asio::co_spawn(*this->context,
-                              this->Serve(std::move(socket)),
-                              boost::asio::detached);
+        this->Open(std::move(socket));
       }
     }
   }
@@ -177,36 +196,113 @@
         co_return;
       }
       if (!error) {
-        boost::asio::co_spawn(*this->context,
-                              this->Serve(std::move(socket)),
-                              boost::asio::detached);
+        this->Open(std::move(socket));
       }
     }
   }
 
-  boost::asio::awaitable<void> Serve(boost::asio::ip::tcp::socket aSocket)
+  /** The session is known from now on, before its coroutine first runs, so that
+   * a drain applies to it. */
+  void Open(boost::asio::ip::tcp::socket aSocket)
   {
     boost::system::error_code ignored;
     aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    Session session(std::move(aSocket));
-    const auto position = this->sessions.insert(this->sessions.end(), &session);
+    const auto position =
+      this->sessions.emplace(this->sessions.end(), std::move(aSocket));
+    boost::asio::co_spawn(
+      *this->context, this->Serve(position), boost::asio::detached);
+  }
+
+  boost::asio::awaitable<void> Serve(typename Sessions::iterator aPosition)
+  {
+    Session& session = *aPosition;
     while (co_await this->ServeRequest(session)) {
     }
-    this->sessions.erase(position);
+    this->sessions.erase(aPosition);
+    if (this->draining && this->sessions.empty()) {
+      this->drainTimer.cancel();
+    }
+  }
+
+  /** Returns early once no connection is open. */
+  boost::asio::awaitable<void> SleepUntil(Instant aInstant)
+  {
+    boost::system::error_code ignored;
+    while (!this->sessions.empty() && Clock::now() < aInstant) {
+      this->drainTimer.expires_after(aInstant - Clock::now());
+      co_await this->drainTimer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+  }
+
+  /** Closes the connections without a request that were opened before
+   * aOpenedBefore. */
+  void CloseIdle(Instant aOpenedBefore)
+  {
+    boost::system::error_code ignored;
+    for (Session& session : this->sessions) {
+      if (session.state == State::kReading &&
+          session.openedAt < aOpenedBefore && !session.HasPartialRequest()) {
+        session.stream.socket().shutdown(
+          boost::asio::ip::tcp::socket::shutdown_receive, ignored);
+      }
+    }
+  }
+
+  /** A new expiry would apply to later operations only, and a cancelled one may
+   * be followed by the next of the same message, so the stream is closed. */
+  void EndReading()
+  {
+    this->isReadOver = true;
+    for (Session& session : this->sessions) {
+      if (session.state == State::kReading) {
+        session.stream.close();
+      }
+    }
+  }
+
+  void EndAnswering()
+  {
+    this->isWriteOver = true;
+    for (Session& session : this->sessions) {
+      if (session.state == State::kHandling) {
+        SendUnfinished(session);
+      } else {
+        session.stream.close();
+      }
+    }
+  }
+
+  /** Sends the answer to a request whose outcome is not known, if the socket
+   * takes it without a wait. */
+  static void SendUnfinished(Session& aSession)
+  {
+    HttpAnswer answer;
+    answer.status = kGatewayTimeout;
+    auto message = ToMessage(std::move(answer));
+    message.keep_alive(false);
+    boost::system::error_code ignored;
+    auto& socket = aSession.stream.socket();
+    socket.non_blocking(true, ignored);
+    boost::beast::http::write(socket, message, ignored);
+    socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   }
 
   /** Serves one request; false if the connection must then be closed. */
   boost::asio::awaitable<bool> ServeRequest(Session& aSession)
   {
     namespace http = boost::beast::http;
+    if (this->isReadOver) {
+      // The step of the drain has come while the last answer was written.
+      co_return false;
+    }
     boost::system::error_code error;
     http::request_parser<http::string_body> parser;
     parser.body_limit(kBodyLimitBytes);
     parser.header_limit(kHeaderLimitBytes);
-    aSession.busy = false;
+    aSession.state = State::kReading;
     aSession.parser = &parser;
-    aSession.stream.expires_after(this->draining ? kDrainTimeout
-                                                 : kIdleTimeout);
+    aSession.stream.expires_after(kIdleTimeout);
     co_await http::async_read(
       aSession.stream,
       aSession.buffer,
@@ -216,14 +312,18 @@
     if (error) {
       co_return false;
     }
-    aSession.busy = true;
+    aSession.state = State::kHandling;
     aSession.stream.expires_never();
     const bool keepAlive = parser.get().keep_alive();
     HttpRequest request = FromMessage(parser.release());
     HttpAnswer answer = co_await this->handler->Handle(std::move(request));
+    if (this->isWriteOver) {
+      co_return false;
+    }
     auto message = ToMessage(std::move(answer));
     const bool isKeptOpen = keepAlive && !this->closing;
     message.keep_alive(isKeptOpen);
+    aSession.state = State::kWriting;
     aSession.stream.expires_after(kIdleTimeout);
     co_await http::async_write(
       aSession.stream,
@@ -235,9 +335,14 @@
   boost::asio::io_context* context;
   Handler* handler;
   boost::asio::ip::tcp::acceptor acceptor;
-  std::list<Session*> sessions;
+  boost::asio::steady_timer drainTimer;
+  Sessions sessions;
   bool closing = false;
   bool draining = false;
+  /** The drain has come to StopBudget::ReadEnd(). */
+  bool isReadOver = false;
+  /** The drain has come to StopBudget::AnswerEnd(). */
+  bool isWriteOver = false;
 };
 
 }
--- a/machines/host_settings.h
+++ b/machines/host_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/instant.h"
 #include "machines/entry_host.h"
 
 #include <compare>
@@ -24,6 +25,8 @@
   const std::vector<Endpoint>& Peers() const { return this->peers; }
   /** Number of threads that serve requests. */
   std::int32_t Threads() const { return this->threads; }
+  /** Time from SIGTERM until the process is killed. */
+  Milliseconds GraceTime() const { return this->graceTime; }
   /** Name of a log4cplus level. */
   const std::string& LogLevel() const { return this->logLevel; }
   /** Destination of the log; standard error when empty. */
@@ -38,6 +41,7 @@
   std::vector<Endpoint> platform;
   std::vector<Endpoint> peers;
   std::int32_t threads = 2;
+  Milliseconds graceTime{ 30'000 };
   std::string logLevel = "INFO";
   std::string logFile;
 };
--- a/machines/host_settings_builder.cpp
+++ b/machines/host_settings_builder.cpp
@@ -34,6 +34,13 @@
   return *this;
 }
 
+HostSettingsBuilder&
+HostSettingsBuilder::GraceTime(Milliseconds aGraceTime)
+{
+  this->value.graceTime = aGraceTime;
+  return *this;
+}
+
 HostSettingsBuilder&
 HostSettingsBuilder::LogLevel(std::string aLogLevel)
 {
@@ -57,6 +64,12 @@
                      "at least one thread must serve requests");
     return std::nullopt;
   }
+  if (this->value.graceTime <= Milliseconds(0)) {
+    aReason = Reason(Step::kSettings,
+                     this->value.host.Name().Text(),
+                     "a host needs a grace time");
+    return std::nullopt;
+  }
   return this->value;
 }
 
--- a/machines/host_settings_builder.h
+++ b/machines/host_settings_builder.h
@@ -9,7 +9,7 @@
 class Reason;
 
 /** Builds a HostSettings. Build() returns nullopt and sets aReason when the
- * number of threads is below one. */
+ * number of threads is below one or the grace time is not positive. */
 class HostSettingsBuilder
 {
 public:
@@ -17,6 +17,7 @@
   HostSettingsBuilder& Platform(std::vector<Endpoint> aPlatform);
   HostSettingsBuilder& Peers(std::vector<Endpoint> aPeers);
   HostSettingsBuilder& Threads(std::int32_t aThreads);
+  HostSettingsBuilder& GraceTime(Milliseconds aGraceTime);
   HostSettingsBuilder& LogLevel(std::string aLogLevel);
   HostSettingsBuilder& LogFile(std::string aLogFile);
   std::optional<HostSettings> Build(Reason& aReason) const;
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -61,6 +61,9 @@
   {
   }
 
+  /** Retries of calls end by aTime, whatever the calls' deadlines. */
+  void AnswerBy(Instant aTime) { this->answerBy = aTime; }
+
   /** Serves one call, logs it and counts it. Retries of a submit or a
    * cancellation stop shortly before the call's deadline. */
   boost::asio::awaitable<JobReply> Answer(JobCall aCall)
@@ -194,7 +197,8 @@
 
   bool IsTimeLeft(const JobCall& aCall) const
   {
-    return Clock::now() + kAnswerMargin < aCall.deadline;
+    return Clock::now() + kAnswerMargin <
+           std::min(aCall.deadline, this->answerBy);
   }
 
   boost::asio::awaitable<JobReply> Submit(JobCall aCall,
@@ -541,6 +545,7 @@
   DomainMetrics* metrics;
   StoreHealth storeHealth;
   Milliseconds maxConfirmationAge;
+  Instant answerBy = Instant::max();
   CatalogCallback onCatalogRow;
 };
 
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -178,12 +178,14 @@
     CPPUNIT_ASSERT(IsDomainHostSettings(kHost));
     CPPUNIT_ASSERT(!IsDomainHostSettings("name: a\n"));
     const auto host = DecodeDomainHostSettings(
-      kHost + "core_share: 0.25\ntiming: {worker_lease_ms: 10000}\n"
-              "policy: {headroom: 0.15}\n",
+      kHost +
+        "core_share: 0.25\ngrace_s: 4.5\ntiming: {worker_lease_ms: 10000}\n"
+        "policy: {headroom: 0.15}\n",
       "f",
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, host->ShareOfCore(), 0.0);
+    CPPUNIT_ASSERT(Milliseconds(4500) == host->GraceTime());
     CPPUNIT_ASSERT(Milliseconds(10000) == host->Timing().WorkerLease());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.15, host->Policy().Headroom(), 0.0);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
@@ -191,6 +193,7 @@
     for (const char* invalidLine : { "core_share: no\n",
                                      "core_share: -1\n",
                                      "threads: 0\n",
+                                     "grace_s: 0\n",
                                      "unknown: 1\n",
                                      "policy: {headroom: 2}\n",
                                      "policy: {most_waste: .nan}\n",
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(RepeatedSubmitStoresOneJob);
   CPPUNIT_TEST(LostCommitAnswerIsRetriedBeforeReply);
   CPPUNIT_TEST(UnresolvedCommitIsReportedAsNotKnown);
+  CPPUNIT_TEST(RetriesOutlastStopOfHost);
   CPPUNIT_TEST(StoreRefusalRefusesCallWithoutRetry);
   CPPUNIT_TEST(JobBeyondTheStoresLimitsIsMalformed);
   CPPUNIT_TEST(KeyRevokedDuringSubmitStoresNothing);
@@ -95,6 +96,20 @@
     CPPUNIT_ASSERT(JobReply::Kind::kNotKnown == this->Submit().kind);
   }
 
+  /** A call that is tried again until its caller's deadline was cut off
+   * without an answer when the host ended before. */
+  void RetriesOutlastStopOfHost()
+  {
+    this->store.faults = { StoreFault::kLostUnapplied };
+    this->store.faults.resize(1000, StoreFault::kNotWritten);
+    JobCall call = this->MakeCall(JobCall::Kind::kSubmit);
+    call.deadline = Clock::now() + Milliseconds(10'000);
+    const Instant answerBy = Clock::now() + Milliseconds(400);
+    CPPUNIT_ASSERT(JobReply::Kind::kNotKnown ==
+                   this->Serve(call, answerBy).kind);
+    CPPUNIT_ASSERT(Clock::now() < answerBy);
+  }
+
   void StoreRefusalRefusesCallWithoutRetry()
   {
     this->store.isDown = true;
@@ -252,7 +267,7 @@
     return this->Serve(this->MakeCall(aKind));
   }
 
-  JobReply Serve(const JobCall& aCall)
+  JobReply Serve(const JobCall& aCall, Instant aAnswerBy = Instant::max())
   {
     boost::asio::io_context context(1);
     DomainJobApi<FakeRowStore, platform::Schema> jobApi(
@@ -262,6 +277,7 @@
       this->metrics,
       Milliseconds(5000),
       [this](const TableRow&) { ++this->catalogRows; });
+    jobApi.AnswerBy(aAnswerBy);
     JobReply reply;
     boost::asio::co_spawn(context,
                           jobApi.Answer(aCall),
