Let the caller read the last answer before its connection is closed

What callers saw: an answer that was cut off. A close while received bytes are unread resets the connection, and the system discards what it has not sent yet. A caller that sends its next request while it still reads the last answer, or whose host closes connections before a stop, met this.

CloseWithUnreadBytesDestroysAnswer fails without this change: 200,000 bytes, a small receive buffer, and bytes that arrive 50 ms after the request.

--- a/links/http_server.h
+++ b/links/http_server.h
@@ -8,6 +8,7 @@
 #include "links/http_message.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -135,7 +136,9 @@
     /** Waits for a request or reads it. */
     kReading,
     kHandling,
-    kWriting
+    kWriting,
+    /** The last answer is written; reads until the caller closes. */
+    kLingering
   };
 
   struct Session
@@ -163,12 +166,17 @@
 
   static constexpr int kBacklog = 4096;
   static constexpr int kGatewayTimeout = 504;
+  static constexpr std::size_t kLingerBlockBytes = 4096;
   static constexpr std::uint64_t kBodyLimitBytes = 64ULL << 20U;
   static constexpr std::uint32_t kHeaderLimitBytes = 64U << 10U;
   static constexpr std::chrono::seconds kIdleTimeout{ 75 };
   /** Time in which the first byte of a request must arrive on a connection that
    * is new when the drain starts. */
   static constexpr Milliseconds kFirstByteTime{ 100 };
+  /** Time for the caller to read the last answer. A close with unread bytes
+   * would reset the connection and might destroy the answer. Shorter than the
+   * time after which a request that is still sent would count as lost. */
+  static constexpr Milliseconds kLingerTime{ 150 };
 
   /** Accepts the connections that are queued in the kernel; closing the
    * listening socket would reset them. */
@@ -218,6 +226,9 @@
     Session& session = *aPosition;
     while (co_await this->ServeRequest(session)) {
     }
+    if (session.state == State::kLingering) {
+      co_await this->Linger(session);
+    }
     this->sessions.erase(aPosition);
     if (this->draining && this->sessions.empty()) {
       this->drainTimer.cancel();
@@ -288,12 +299,27 @@
     socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
   }
 
+  boost::asio::awaitable<void> Linger(Session& aSession)
+  {
+    boost::system::error_code error;
+    aSession.stream.socket().shutdown(
+      boost::asio::ip::tcp::socket::shutdown_send, error);
+    aSession.stream.expires_after(kLingerTime);
+    std::array<char, kLingerBlockBytes> block{};
+    const auto buffer = boost::asio::buffer(block);
+    while (!error) {
+      co_await aSession.stream.async_read_some(
+        buffer, boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    }
+  }
+
   /** Serves one request; false if the connection must then be closed. */
   boost::asio::awaitable<bool> ServeRequest(Session& aSession)
   {
     namespace http = boost::beast::http;
     if (this->isReadOver) {
       // The step of the drain has come while the last answer was written.
+      aSession.state = State::kLingering;
       co_return false;
     }
     boost::system::error_code error;
@@ -329,7 +355,11 @@
       aSession.stream,
       message,
       boost::asio::redirect_error(boost::asio::use_awaitable, error));
-    co_return !error && isKeptOpen;
+    if (error || isKeptOpen) {
+      co_return !error;
+    }
+    aSession.state = State::kLingering;
+    co_return false;
   }
 
   boost::asio::io_context* context;
--- a/tests/links/http_server_test.cpp
+++ b/tests/links/http_server_test.cpp
@@ -13,9 +13,10 @@
 
 namespace {
 
+constexpr std::size_t kBodyBytes = 200'000;
 constexpr Milliseconds kTimeout{ 3000 };
 
-/** Answers after a minute. */
+/** Answers "/large" with kBodyBytes bytes at once, others after a minute. */
 class TestHandler
 {
 public:
@@ -24,9 +25,13 @@
   {
   }
 
-  asio::awaitable<HttpAnswer> Handle(HttpRequest)
+  asio::awaitable<HttpAnswer> Handle(HttpRequest aRequest)
   {
     HttpAnswer answer;
+    if (aRequest.target == "/large") {
+      answer.body = std::string(kBodyBytes, 'x');
+      co_return answer;
+    }
     asio::steady_timer timer(*this->context, std::chrono::minutes(1));
     co_await timer.async_wait(asio::use_awaitable);
     co_return answer;
@@ -48,6 +53,7 @@
 class HttpServerTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(HttpServerTest);
+  CPPUNIT_TEST(CloseWithUnreadBytesDestroysAnswer);
   CPPUNIT_TEST(UnfinishedRequestEndsWithoutAnswerInStop);
   CPPUNIT_TEST_SUITE_END();
 
@@ -73,6 +79,18 @@
     this->context.reset();
   }
 
+  /** Bytes that arrive after the last request made the system reset the
+   * connection at its close, with the rest of the answer unsent. */
+  void CloseWithUnreadBytesDestroysAnswer()
+  {
+    constexpr int kReceiveBuffer = 4096;
+    RawConnection caller(this->endpoint, kReceiveBuffer);
+    CPPUNIT_ASSERT(caller.Send(Request("/large")));
+    std::this_thread::sleep_for(Milliseconds(50));
+    caller.Send("GET /next HTTP/1.1\r\n");
+    CPPUNIT_ASSERT(caller.ReceiveAnswer(kTimeout));
+  }
+
   /** A request whose handling outlasts the stop ended without an answer. */
   void UnfinishedRequestEndsWithoutAnswerInStop()
   {
