Serve the request that was sent behind the last answered one

What callers saw: of two requests that were sent at once during a stop, the second ended without an answer, later than 200 ms after it was sent. The host had read both, and closed the connection after the answer to the first.

While connections are being closed, one whose next request has begun to arrive is now kept open for that request, until the time by which requests must have arrived. PipelinedRequestIsLostDuringStop failed before: the first answer had "Connection: close" and no second one came.

--- a/links/http_server.h
+++ b/links/http_server.h
@@ -347,7 +347,7 @@
       co_return false;
     }
     auto message = ToMessage(std::move(answer));
-    const bool isKeptOpen = keepAlive && !this->closing;
+    const bool isKeptOpen = keepAlive && this->IsNextServed(aSession);
     message.keep_alive(isKeptOpen);
     aSession.state = State::kWriting;
     aSession.stream.expires_after(kIdleTimeout);
@@ -362,6 +362,14 @@
     co_return false;
   }
 
+  /** While connections are being closed, a request that the caller has sent
+   * behind the answered one is still served. */
+  bool IsNextServed(const Session& aSession) const
+  {
+    return !this->closing ||
+           (!this->isReadOver && aSession.HasPartialRequest());
+  }
+
   boost::asio::io_context* context;
   Handler* handler;
   boost::asio::ip::tcp::acceptor acceptor;
--- a/tests/history/stop_test.cpp
+++ b/tests/history/stop_test.cpp
@@ -92,6 +92,7 @@
   CPPUNIT_TEST(UnresponsiveStoreDelaysStop);
   CPPUNIT_TEST(RequestCompletedLateIsLostAtEndOfGraceTime);
   CPPUNIT_TEST(RequestOnOpenConnectionIsLostDuringStop);
+  CPPUNIT_TEST(PipelinedRequestIsLostDuringStop);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -244,6 +245,28 @@
     CPPUNIT_ASSERT_EQUAL(0, lost.load());
     host.Site().MarkPassed();
   }
+
+  /** The host closed a connection after an answer although it had read the next
+   * request with the answered one. */
+  void PipelinedRequestIsLostDuringStop()
+  {
+    StoppedHost host;
+    host.Site().StoreLink(0).SetDelay(Milliseconds(100));
+    host.Stop();
+    host.SleepUntil(kAfterSignal);
+    RawConnection caller(host.Callers());
+    const std::string request = host.Head("GET", "/one/none", 0);
+    CPPUNIT_ASSERT(caller.Send(request + request));
+    caller.ReceiveFor(kAnswerTimeout);
+    const std::string& answers = caller.Received();
+    constexpr std::string_view kStatus = "HTTP/1.1 410";
+    const std::size_t first = answers.find(kStatus);
+    CPPUNIT_ASSERT_MESSAGE(answers, first != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(
+      answers, answers.find(kStatus, first + 1) != std::string::npos);
+    CPPUNIT_ASSERT(host.EndsInTime());
+    host.Site().MarkPassed();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopTest);
