--- a/daemon/caller_thread.cpp
+++ b/daemon/caller_thread.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller_thread.h"
 
 #include "contracts/domain_host_settings.h"
+#include "scheduling/event_line.h"
 
 namespace sardinecourse {
 
@@ -44,21 +45,38 @@
 }
 
 void
-CallerThread::CloseAfterAnswers()
+CallerThread::CloseAfterAnswers(const StopBudget& aBudget)
 {
-  boost::asio::post(this->context,
-                    [this] { this->server.CloseAfterAnswers(); });
+  boost::asio::post(this->context, [this, aBudget] {
+    this->server.CloseAfterAnswers();
+    this->jobApi.AnswerBy(aBudget.AnswerEnd());
+  });
 }
 
 void
-CallerThread::Drain()
+CallerThread::Drain(const StopBudget& aBudget)
 {
-  boost::asio::post(this->context, [this] {
-    this->server.Drain();
+  boost::asio::post(this->context, [this, aBudget] {
+    const ConnectionCounts open = this->server.OpenConnections();
+    EventLine("stop_step")
+      .Field("step", "drain")
+      .Field("since_ms", aBudget.Elapsed(Clock::now()).count())
+      .Field("idle", open.idle)
+      .Field("reading", open.reading)
+      .Field("answering", open.answering)
+      .Emit();
+    boost::asio::co_spawn(
+      this->context, this->server.Drain(aBudget), boost::asio::detached);
     this->work.reset();
   });
 }
 
+void
+CallerThread::Abandon()
+{
+  this->context.stop();
+}
+
 void
 CallerThread::Join()
 {
