Find jobs that wait beside free room in the model

The users' rule LOST has a clause that no test judged: after the end of the traffic no job may have nothing running for 3 s while a task's turn has come, there is room for it twice over and under half of the capacity is in use.

The model learns two more troubles for it: workers that leave for good, and a takeover by a holder that loads the stored progress; and the lease of a worker is a setting.

--- a/tests/model/domain_model.cpp
+++ b/tests/model/domain_model.cpp
@@ -1,6 +1,7 @@
 #include "tests/model/domain_model.h"
 
 #include "contracts/domain_timing_builder.h"
+#include "contracts/job_progress_builder.h"
 #include "tests/model/model_job.h"
 #include "tests/model/model_settings.h"
 #include "tests/scheduling/sample_jobs.h"
@@ -23,6 +24,11 @@
 constexpr Milliseconds kPollInterval{ 700 };
 /** Delay until a caller that polls a job's status reads its final state. */
 constexpr Milliseconds kStatusDelay{ 50 };
+/** The platform's list drops a worker that has left after this time. */
+constexpr Milliseconds kUnlistDelay{ 2000 };
+constexpr Milliseconds kObserveInterval{ 100 };
+/** A job may wait this long beside free room. */
+constexpr Milliseconds kMaxIdleWait{ 3000 };
 /** A job earns no credit once it has taken longer than this many times its
  * objective. */
 constexpr int kMaxLateObjectives = 3;
@@ -32,6 +38,7 @@
 MakeTiming(const ModelSettings& aSettings)
 {
   return Valid(DomainTimingBuilder()
+                 .WorkerLease(aSettings.workerLease)
                  .StopTime(aSettings.stopTime)
                  .ReclaimTime(aSettings.reclaimTime)
                  .RemoteSlowdown(aSettings.remoteSlowdown));
@@ -70,7 +77,8 @@
             this->events.ScheduleAfter(
               kPollTime, [this, aWorker] { this->Poll(aWorker); });
           })
-  , domain(MakeTiming(aSettings), this->start)
+  , domain(std::in_place, MakeTiming(aSettings), this->start)
+  , idleWaits(aSettings)
   , accumulatedUntil(this->start)
 {
 }
@@ -78,11 +86,32 @@
 ModelFigures
 DomainModel::Run()
 {
+  this->PrepareDomain();
   for (const auto& [name, rack] : this->fleet.Racks()) {
-    this->domain.ListWorker(MakeListing(*this->settings, name, rack),
-                            this->start);
     this->PollPeriodically(name);
   }
+  this->AddTroubles();
+  this->AddArrivals();
+  this->RunPassPeriodically();
+  this->ObserveIdleWaits();
+  this->events.Run(this->start + this->settings->traffic +
+                     this->settings->finish,
+                   [this] { return this->IsComplete(); });
+  this->figures.idleWaits = this->idleWaits.WaitingFor(kMaxIdleWait);
+  this->ComputeFigures();
+  return this->figures;
+}
+
+/** Gives a holder the workers and the guarantees. */
+void
+DomainModel::PrepareDomain()
+{
+  for (const auto& [name, rack] : this->fleet.Racks()) {
+    if (!this->fleet.HasLeft(name)) {
+      this->domain->ListWorker(MakeListing(*this->settings, name, rack),
+                               this->events.Now());
+    }
+  }
   std::map<TeamName, std::int64_t> guarantees;
   const double guaranteed =
     this->settings->guaranteed *
@@ -92,15 +121,45 @@
     guarantees[TeamName("team-" + std::to_string(team))] =
       static_cast<std::int64_t>(guaranteed) / this->settings->teams;
   }
-  this->domain.SetGuarantees(std::move(guarantees));
-  this->AddTroubles();
-  this->AddArrivals();
-  this->RunPassPeriodically();
-  this->events.Run(this->start + this->settings->traffic +
-                     this->settings->finish,
-                   [this] { return this->IsComplete(); });
-  this->ComputeFigures();
-  return this->figures;
+  this->domain->SetGuarantees(std::move(guarantees));
+}
+
+/** Another host loads the stored jobs. What its predecessor sent is answered to
+ * nobody. */
+void
+DomainModel::TakeOver()
+{
+  ++this->term;
+  this->pendingStarts.clear();
+  this->pollsInFlight.clear();
+  this->isStoreScheduled = false;
+  this->reservations = PreemptionReservations();
+  this->domain.emplace(MakeTiming(*this->settings), this->events.Now());
+  this->PrepareDomain();
+  for (const auto& [key, progress] : this->stored) {
+    this->domain->AddJob(this->jobsByKey.at(key)->job,
+                         progress,
+                         ++this->revision,
+                         this->events.Now());
+  }
+  for (const auto& [name, worker] : this->domain->Workers()) {
+    this->Poll(name);
+  }
+}
+
+/** Whether the holder of a term has been replaced. */
+bool
+DomainModel::IsOver(std::int64_t aTerm) const
+{
+  return aTerm != this->term;
+}
+
+void
+DomainModel::ObserveIdleWaits()
+{
+  this->idleWaits.Observe(this->events.Now(), *this->domain, this->fleet);
+  this->events.ScheduleAfter(kObserveInterval,
+                             [this] { this->ObserveIdleWaits(); });
 }
 
 bool
@@ -119,6 +178,10 @@
     if (trouble.kind == ModelTrouble::Kind::kBurst) {
       continue;
     }
+    if (trouble.kind == ModelTrouble::Kind::kTakeover) {
+      this->events.ScheduleAfter(trouble.start, [this] { this->TakeOver(); });
+      continue;
+    }
     for (const auto& [name, rack] : this->fleet.Racks()) {
       if (std::uniform_real_distribution<>(0.0, 1.0)(this->random) <
           trouble.share) {
@@ -135,11 +198,21 @@
   if (trouble.kind == ModelTrouble::Kind::kRestart) {
     this->events.ScheduleAfter(trouble.start, [this, aWorker] {
       this->fleet.Restart(aWorker);
-      this->domain.PollFailed(aWorker);
+      this->domain->PollFailed(aWorker);
       this->Poll(aWorker);
     });
     return;
   }
+  if (trouble.kind == ModelTrouble::Kind::kLeave) {
+    this->events.ScheduleAfter(trouble.start, [this, aWorker] {
+      this->fleet.Leave(aWorker);
+      this->domain->PollFailed(aWorker);
+    });
+    this->events.ScheduleAfter(trouble.start + kUnlistDelay, [this, aWorker] {
+      this->domain->UnlistWorker(aWorker);
+    });
+    return;
+  }
   this->events.ScheduleAfter(trouble.start,
                              [this, aWorker, factor = trouble.factor] {
                                this->fleet.SetSlowdown(aWorker, factor);
@@ -159,20 +232,39 @@
                                [this, &job] { this->SubmitJob(job); });
     if (job.cancelAt) {
       this->events.ScheduleAfter(*job.cancelAt, [this, key = job.job.Key()] {
-        this->domain.CancelJob(key, this->events.Now());
+        this->StoreCancelled(key);
+        this->domain->CancelJob(key, this->events.Now());
         this->RequestPass();
       });
     }
   }
 }
 
+void
+DomainModel::StoreCancelled(const JobKey& aJob)
+{
+  this->cancelled.insert(aJob);
+  const TrackedJob* job = this->domain->FindJob(aJob);
+  if (job == nullptr || job->Final()) {
+    return;
+  }
+  const JobProgress progress = job->Progress();
+  this->stored[aJob] = Valid(JobProgressBuilder()
+                               .Queue(progress.Queue())
+                               .State(JobState::kCancelled)
+                               .Marks(progress.Marks())
+                               .FailedRuns(progress.FailedRuns())
+                               .Placements(progress.Placements()));
+}
+
 void
 DomainModel::SubmitJob(const ModelJob& aJob)
 {
   // A job is stored before its caller is answered and before the holder is
   // notified of it.
   this->events.ScheduleAfter(kStoreTime, [this, &aJob] {
-    this->domain.AddJob(
+    this->stored.try_emplace(aJob.job.Key(), std::nullopt);
+    this->domain->AddJob(
       aJob.job, std::nullopt, ++this->revision, this->events.Now());
     this->RequestPass();
   });
@@ -195,17 +287,30 @@
     return;
   }
   const Instant sent = this->events.Now();
-  this->fleet.Acknowledge(aWorker,
-                          this->domain.AcknowledgeableEnd(aWorker, sent));
-  this->domain.GrantLease(aWorker, sent);
-  this->events.ScheduleAfter(kPollTime, [this, aWorker, sent] {
+  if (this->fleet.HasLeft(aWorker)) {
     this->pollsInFlight.erase(aWorker);
-    const auto ends = this->domain.ApplyReport(
-      aWorker, this->fleet.ReportOf(aWorker), sent, this->events.Now());
-    if (!ends.empty()) {
-      this->RequestPass();
-    }
-  });
+    this->domain->PollFailed(aWorker);
+    return;
+  }
+  this->fleet.Acknowledge(aWorker,
+                          this->domain->AcknowledgeableEnd(aWorker, sent));
+  this->domain->GrantLease(aWorker, sent);
+  this->events.ScheduleAfter(
+    kPollTime, [this, aWorker, sent, sender = this->term] {
+      if (this->IsOver(sender)) {
+        return;
+      }
+      this->pollsInFlight.erase(aWorker);
+      if (this->fleet.HasLeft(aWorker)) {
+        this->domain->PollFailed(aWorker);
+        return;
+      }
+      const auto ends = this->domain->ApplyReport(
+        aWorker, this->fleet.ReportOf(aWorker), sent, this->events.Now());
+      if (!ends.empty()) {
+        this->RequestPass();
+      }
+    });
 }
 
 void
@@ -236,7 +341,7 @@
   const auto wallTime =
     WallTime(std::chrono::duration_cast<Milliseconds>(now - this->start));
   DomainPass pass(
-    this->domain, this->reservations, now, wallTime, this->policy);
+    *this->domain, this->reservations, now, wallTime, this->policy);
   PassDecisions decisions = pass.Run();
   this->figures.preempted += static_cast<int>(decisions.preempted.size());
   for (const StopOrder& stop : decisions.stops) {
@@ -244,7 +349,7 @@
   }
   std::ranges::move(decisions.starts, std::back_inserter(this->pendingStarts));
   this->SendStoredStarts();
-  if (!this->domain.DirtyJobs().empty() &&
+  if (!this->domain->DirtyJobs().empty() &&
       !std::exchange(this->isStoreScheduled, true)) {
     this->StoreDirtyJobs();
   }
@@ -255,17 +360,25 @@
 void
 DomainModel::StoreDirtyJobs()
 {
-  std::vector<std::pair<JobKey, std::int64_t>> versions;
-  for (const JobKey& key : this->domain.DirtyJobs()) {
-    versions.emplace_back(key, this->domain.FindJob(key)->Version());
+  std::map<JobKey, std::pair<std::int64_t, JobProgress>> versions;
+  for (const JobKey& key : this->domain->DirtyJobs()) {
+    const TrackedJob& job = *this->domain->FindJob(key);
+    versions.emplace(key, std::pair(job.Version(), job.Progress()));
   }
-  this->events.ScheduleAfter(kStoreTime, [this, versions] {
-    for (const auto& [key, version] : versions) {
-      this->domain.FindJob(key)->MarkStored(version, ++this->revision);
+  this->events.ScheduleAfter(kStoreTime, [this, versions, writer = this->term] {
+    if (this->IsOver(writer)) {
+      return;
+    }
+    for (const auto& [key, change] : versions) {
+      const auto& [version, progress] = change;
+      if (!this->cancelled.contains(key)) {
+        this->stored[key] = progress;
+      }
+      this->domain->FindJob(key)->MarkStored(version, ++this->revision);
       this->RecordFinal(key);
     }
     this->SendStoredStarts();
-    this->isStoreScheduled = !this->domain.DirtyJobs().empty();
+    this->isStoreScheduled = !this->domain->DirtyJobs().empty();
     if (this->isStoreScheduled) {
       this->StoreDirtyJobs();
     }
@@ -277,7 +390,7 @@
 {
   std::vector<StartOrder> unstored;
   for (const StartOrder& start : this->pendingStarts) {
-    const TrackedJob* job = this->domain.FindJob(start.Task().Job());
+    const TrackedJob* job = this->domain->FindJob(start.Task().Job());
     if (!job->Final() && job->StoredVersion() < start.JobVersion()) {
       unstored.push_back(start);
     } else {
@@ -290,30 +403,45 @@
 void
 DomainModel::SendStart(const StartOrder& aOrder)
 {
-  if (!this->domain.StartDeadlineMs(aOrder, this->events.Now())) {
-    this->domain.StartDropped(aOrder);
+  if (!this->domain->StartDeadlineMs(aOrder, this->events.Now())) {
+    this->domain->StartDropped(aOrder);
     return;
   }
   this->firstStarts.try_emplace(aOrder.Task().Job(), this->events.Now());
-  this->events.ScheduleAfter(kOrderTime, [this, aOrder] {
+  this->events.ScheduleAfter(kOrderTime, [this, aOrder, sender = this->term] {
+    if (this->fleet.HasLeft(aOrder.Worker())) {
+      if (!this->IsOver(sender)) {
+        this->domain->StartUnanswered(aOrder, this->events.Now());
+      }
+      return;
+    }
     this->fleet.Start(aOrder);
-    this->domain.StartAnswered(aOrder, this->events.Now());
+    if (this->IsOver(sender)) {
+      return;
+    }
+    this->domain->StartAnswered(aOrder, this->events.Now());
   });
 }
 
 void
 DomainModel::SendStop(const StopOrder& aOrder)
 {
-  this->events.ScheduleAfter(kOrderTime, [this, aOrder] {
+  this->events.ScheduleAfter(kOrderTime, [this, aOrder, sender = this->term] {
+    if (this->fleet.HasLeft(aOrder.Worker())) {
+      return;
+    }
     this->fleet.Stop(aOrder);
-    this->domain.StopAnswered(aOrder, this->events.Now());
+    if (this->IsOver(sender)) {
+      return;
+    }
+    this->domain->StopAnswered(aOrder, this->events.Now());
   });
 }
 
 void
 DomainModel::RecordFinal(const JobKey& aJob)
 {
-  const TrackedJob& job = *this->domain.FindJob(aJob);
+  const TrackedJob& job = *this->domain->FindJob(aJob);
   if (job.Final()) {
     this->reportedFinal.try_emplace(
       aJob, this->events.Now() + kStatusDelay, job.State());
@@ -332,7 +460,7 @@
   if (now > this->start + this->settings->traffic) {
     return;
   }
-  for (const auto& [name, worker] : this->domain.Workers()) {
+  for (const auto& [name, worker] : this->domain->Workers()) {
     const auto free = static_cast<double>(worker.Free().Accelerators());
     const bool isUnused = worker.Free() == this->settings->workerCapacity;
     this->figures.freeAcceleratorSeconds += free * seconds;
--- a/tests/model/domain_model.h
+++ b/tests/model/domain_model.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "contracts/domain_policy.h"
+#include "contracts/job_progress.h"
 #include "tests/model/event_queue.h"
 #include "tests/model/fleet_model.h"
+#include "tests/model/idle_wait_check.h"
 #include "tests/model/model_figures.h"
 #include "zones/domain_state.h"
 #include "zones/preemption_reservations.h"
@@ -10,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -23,8 +26,8 @@
 /**
  * Simulates the holder of a scheduling domain on a FleetModel. It runs the
  * production DomainState and DomainPass; messages and commits take the times
- * that they take on the users' test bench. It has a single holder and loses no
- * messages; DomainWorld covers takeovers and lost messages.
+ * that they take on the users' test bench. It loses no messages; DomainWorld
+ * covers those.
  */
 class DomainModel
 {
@@ -38,6 +41,11 @@
   ModelFigures Run();
 
 private:
+  void PrepareDomain();
+  void TakeOver();
+  bool IsOver(std::int64_t aTerm) const;
+  void ObserveIdleWaits();
+  void StoreCancelled(const JobKey& aJob);
   void AddTroubles();
   void AddTrouble(const WorkerName& aWorker, std::size_t aTrouble);
   void AddArrivals();
@@ -65,7 +73,13 @@
   Instant start;
   std::mt19937 random;
   FleetModel fleet;
-  DomainState domain;
+  std::optional<DomainState> domain;
+  /** Counts the holders. */
+  std::int64_t term = 0;
+  IdleWaitCheck idleWaits;
+  /** Stored progress of each job, as another holder would load it. */
+  std::map<JobKey, std::optional<JobProgress>> stored;
+  std::set<JobKey> cancelled;
   PreemptionReservations reservations;
   std::map<JobKey, const ModelJob*> jobsByKey;
   std::map<JobKey, Instant> firstStarts;
--- a/tests/model/fleet_model.cpp
+++ b/tests/model/fleet_model.cpp
@@ -317,4 +317,29 @@
   }
 }
 
+void
+FleetModel::Leave(const WorkerName& aWorker)
+{
+  this->gone.insert(aWorker);
+  this->Restart(aWorker);
+}
+
+bool
+FleetModel::HasRuns(const JobKey& aJob) const
+{
+  return std::ranges::any_of(this->runs, [&aJob](const auto& aEntry) {
+    return aEntry.first.first.Job() == aJob;
+  });
+}
+
+Resources
+FleetModel::UsedOn(const WorkerName& aWorker) const
+{
+  Resources used;
+  for (const auto& [task, run] : this->workers.at(aWorker).runs) {
+    used = used.Plus(run->step->Need());
+  }
+  return used;
+}
+
 }
--- a/tests/model/fleet_model.h
+++ b/tests/model/fleet_model.h
@@ -5,6 +5,7 @@
 #include "contracts/worker_report.h"
 #include "core/instant.h"
 #include "core/names.h"
+#include "machines/resources.h"
 #include "zones/start_order.h"
 #include "zones/stop_order.h"
 
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -52,6 +54,16 @@
    * new incarnation. */
   void Restart(const WorkerName& aWorker);
 
+  /** Ends the worker for good; its runs break and are not reported. */
+  void Leave(const WorkerName& aWorker);
+  bool HasLeft(const WorkerName& aWorker) const
+  {
+    return this->gone.contains(aWorker);
+  }
+  bool HasRuns(const JobKey& aJob) const;
+  /** Resources that the runs on the worker use. */
+  Resources UsedOn(const WorkerName& aWorker) const;
+
   /** Core-seconds of work that was neither finished nor saved. */
   double LostCoreSeconds() const { return this->lostCoreSeconds; }
   /** Units that finished, and those of them that ran remote (away from their
@@ -106,6 +118,7 @@
   std::function<void(const WorkerName&)> onRunEnded;
   std::map<WorkerName, RackName> racks;
   std::map<WorkerName, WorkerState> workers;
+  std::set<WorkerName> gone;
   std::map<JobKey, const ModelJob*> jobs;
   /** By the unit's first task and the number of the run. */
   std::map<std::pair<TaskAddress, std::int64_t>, UnitRunPtr> runs;
--- a/tests/model/model_figures.h
+++ b/tests/model/model_figures.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "tests/model/idle_wait.h"
 #include "tests/model/kind_figures.h"
 
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace sardinecourse {
 
@@ -23,6 +25,9 @@
    * data rack, or across racks although they prefer one). */
   int unitsDone = 0;
   int remoteUnits = 0;
+  /** Jobs that waited although there was room, for the last three seconds of
+   * the simulation. */
+  std::vector<IdleWait> idleWaits;
   /** Weighted shares of the possible credit that were earned (in total and by
    * the worst kind), minus the cost of lost work. */
   double worth = 0.0;
--- a/tests/model/model_settings.h
+++ b/tests/model/model_settings.h
@@ -31,6 +31,8 @@
   Milliseconds finish{ 0 };
   /** Maximum time from a stop order to the end of the run. */
   Milliseconds stopTime{ 0 };
+  /** Max lease of the runs on a worker. */
+  Milliseconds workerLease{ 6000 };
   /** Time within which a job must start if its team's guarantee covers it. */
   Milliseconds reclaimTime{ 3000 };
   /** Time to read the checkpoint when a run resumes. */
--- a/tests/model/model_settings_yaml.cpp
+++ b/tests/model/model_settings_yaml.cpp
@@ -122,8 +122,12 @@
     trouble.kind = ModelTrouble::Kind::kSlow;
   } else if (kind == "restart") {
     trouble.kind = ModelTrouble::Kind::kRestart;
+  } else if (kind == "leave") {
+    trouble.kind = ModelTrouble::Kind::kLeave;
+  } else if (kind == "takeover") {
+    trouble.kind = ModelTrouble::Kind::kTakeover;
   } else {
-    aReader.Fail("kind", "must be burst, slow or restart");
+    aReader.Fail("kind", "must be burst, slow, restart, leave or takeover");
   }
   trouble.start = ReadMilliseconds(aReader, "at_ms", 0);
   trouble.duration = ReadMilliseconds(aReader, "for_ms", 0);
@@ -147,6 +151,8 @@
     static_cast<std::int32_t>(aReader.Integer("teams", 1, 1, kMaxInteger));
   aSettings.guaranteed = ReadShare(aReader, "guaranteed");
   aSettings.stopTime = ReadMilliseconds(aReader, "stop_ms", 0);
+  aSettings.workerLease =
+    ReadMilliseconds(aReader, "lease_ms", aSettings.workerLease.count());
   aSettings.reclaimTime = ReadMilliseconds(aReader, "reclaim_ms", 3000);
   aSettings.restoreTime = ReadMilliseconds(aReader, "restore_ms", 0);
   aSettings.saveInterval = ReadMilliseconds(aReader, "save_ms", 500);
--- a/tests/model/model_trouble.h
+++ b/tests/model/model_trouble.h
@@ -18,7 +18,11 @@
     /** The run times on some workers are multiplied. */
     kSlow,
     /** Some workers crash and restart at once. */
-    kRestart
+    kRestart,
+    /** Some workers leave for good, without a notice. */
+    kLeave,
+    /** Another host becomes the holder. */
+    kTakeover
   };
 
   Kind kind = Kind::kBurst;
@@ -29,7 +33,8 @@
   std::string jobs;
   /** Multiplies the arrival rate (kBurst) or the run times (kSlow). */
   double factor = 1.0;
-  /** Probability with which each worker is affected (kSlow, kRestart). */
+  /** Probability with which each worker is affected (kSlow, kRestart, kLeave).
+   */
   double share = 0.0;
 
   bool operator==(const ModelTrouble&) const = default;
