Start overdue work off its rack when no more jobs arrive

Cause: a gang that prefers one rack, or a task away from the rack of its data, waits for that rack for all the slack of its objective by the declared run time: (Stretch - 1) x EstimateMs + TargetDurationMs.

Change: once no job has arrived for 5 s, a unit that has waited for 2 s although it fits twice into what is free starts in any racks, if nothing else of its job runs. Of a step without gangs one task starts so; the others go on waiting. While jobs arrive, all others wait for their rack as before.

--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -11,6 +11,9 @@
 constexpr std::int64_t kLongMs = 60'000;
 /** By when a guaranteed job must have started; the default of DomainTiming. */
 constexpr std::int64_t kReclaimMs = 3000;
+/** By when after the last arrival every job must run or have run. */
+constexpr std::int64_t kFinishMs = 14'000;
+constexpr Milliseconds kLongEstimate{ 20'000 };
 
 /** Submits a batch job of aTasks tasks, each of which needs a quarter of a
  * worker, and runs one scheduling pass. */
@@ -41,6 +44,9 @@
   CPPUNIT_TEST(SmallTasksArePackedSoThatGangsFindEmptyWorkers);
   CPPUNIT_TEST(GangThatDoesNotFitStartsNoMember);
   CPPUNIT_TEST(GangPreferringOneRackWaitsForIt);
+  CPPUNIT_TEST(GangPreferringOneRackStartsInAmpleRoomAfterLastArrival);
+  CPPUNIT_TEST(GangPreferringOneRackWaitsForItWhileJobsArrive);
+  CPPUNIT_TEST(TaskAwayFromItsDataStartsInAmpleRoomAfterLastArrival);
   CPPUNIT_TEST(GangLargerThanRackSpansRacks);
   CPPUNIT_TEST(GuaranteedJobPreemptsBurstOfBatchWork);
   CPPUNIT_TEST(BatchWorkLeavesHeadroomForUrgentJobs);
@@ -121,6 +127,49 @@
                          RackOf(world, members[1].worker));
   }
 
+  // A gang whose declared run time is long waited for one rack for as long as
+  // its objective allows, with nothing running, although most of the fleet was
+  // free and no more jobs arrived.
+  void GangPreferringOneRackStartsInAmpleRoomAfterLastArrival()
+  {
+    DomainWorld world(8, 2);
+    SubmitGangWithoutFreeRack(world);
+    CPPUNIT_ASSERT(StartsWithin(world, "tight", kFinishMs));
+  }
+
+  // A gang that started across racks while other jobs arrived would take
+  // several times the room from them, and be late itself.
+  void GangPreferringOneRackWaitsForItWhileJobsArrive()
+  {
+    DomainWorld world(8, 2);
+    SubmitGangWithoutFreeRack(world);
+    for (std::int64_t arrival = 0; arrival < kFinishMs / 1000; ++arrival) {
+      SubmitWithoutAccelerators(world, arrival);
+      CPPUNIT_ASSERT(!StartsWithin(world, "tight", 1000));
+    }
+  }
+
+  // A task waited for the full rack of its data in the same way.
+  void TaskAwayFromItsDataStartsInAmpleRoomAfterLastArrival()
+  {
+    DomainWorld world(4, 1);
+    world.PollAll();
+    world.Submit(
+      MakeAdmitted("full", 1, { Valid(WholeWorkerGang(1).Label("r0")) }),
+      kLongMs,
+      false);
+    world.Pass({});
+    world.Submit(MakeAdmitted("far",
+                              1,
+                              { Valid(WholeWorkerGang(1)
+                                        .IsGang(false)
+                                        .DataRack(RackName("r0"))
+                                        .Estimate(kLongEstimate)) }),
+                 kLongMs,
+                 false);
+    CPPUNIT_ASSERT(StartsWithin(world, "far", kFinishMs));
+  }
+
   void GangLargerThanRackSpansRacks()
   {
     DomainWorld world(4, 2);
@@ -605,6 +654,38 @@
   }
 
 private:
+  /** Submits a gang of two whole workers that prefers one rack, to a fleet of
+   * racks of two workers of which one has a small task. */
+  static void SubmitGangWithoutFreeRack(DomainWorld& aWorld)
+  {
+    aWorld.PollAll();
+    for (const char* rack : { "r0", "r1", "r2", "r3" }) {
+      aWorld.Submit(
+        MakeAdmitted(rack, 1, { Valid(QuarterStep(1).Label(rack)) }),
+        kLongMs,
+        false);
+    }
+    aWorld.Pass({});
+    aWorld.Submit(
+      MakeAdmitted("tight",
+                   1,
+                   { Valid(WholeWorkerGang(2).PrefersOneRack(true).Estimate(
+                     kLongEstimate)) }),
+      kLongMs,
+      false);
+  }
+
+  static void SubmitWithoutAccelerators(DomainWorld& aWorld,
+                                        std::int64_t aNumber)
+  {
+    aWorld.Submit(MakeAdmitted("arrival-" + std::to_string(aNumber),
+                               1,
+                               { Valid(QuarterStep(1).Need(
+                                 MakeResources(1000, 1000, 0))) }),
+                  500,
+                  false);
+  }
+
   static std::string RackOf(DomainWorld& aWorld, const WorkerName& aWorker)
   {
     return aWorld.site.workers.at(aWorker.Text()).rack;
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -29,6 +29,12 @@
 /** Queues with this priority value or a higher one hold batch work; 0 is the
  * most urgent. */
 constexpr std::int32_t kFirstBatchPriority = 2;
+/** A job with nothing running may wait 3 s while its service has ample room for
+ * it; the rest of that time is for the store and the orders. */
+constexpr Milliseconds kMaxAmpleRoomWait{ 2000 };
+/** While jobs arrive, work away from its rack takes room from others. Without
+ * an arrival for this time, room is not kept for work to come. */
+constexpr Milliseconds kQuietTime{ 5000 };
 
 StopCause
 CauseToStop(const TrackedJob& aJob, const TaskUnit& aUnit)
@@ -208,10 +214,11 @@
 void
 DomainPass::ServeGang(TrackedJob& aJob, TaskUnit& aUnit, const UnitRef& aRef)
 {
+  const bool isOverdue = this->IsOverdueInAmpleRoom(aJob, aUnit, aRef);
   if (aUnit.Count() > this->MaxTasksWithinHeadroom(aJob, aJob.StepOf(aUnit))) {
     return;
   }
-  const auto places = this->PlaceGang(aJob, aUnit, aRef);
+  const auto places = this->PlaceGang(aJob, aUnit, aRef, isOverdue);
   if (places) {
     this->reservations->Release(aRef);
     this->Start(aJob, aUnit, *places);
@@ -225,6 +232,8 @@
 {
   TaskUnit& first = aJob.Units()[aGroup.units.front().unit];
   const JobStep& step = aJob.StepOf(first);
+  const bool isOverdue =
+    this->IsOverdueInAmpleRoom(aJob, first, aGroup.units.front());
   const std::int32_t count =
     std::min(static_cast<std::int32_t>(aGroup.units.size()),
              this->MaxTasksWithinHeadroom(aJob, step));
@@ -238,6 +247,9 @@
   if (places.empty() && !step.DataRack().Empty() &&
       this->Waited(aJob) >= this->MaxLocalityWait(aJob, step)) {
     places = FindSomePlaces(workers, MakePlacementRequest(step, count, false));
+  } else if (places.empty() && isOverdue) {
+    // One task of an overdue job starts; the others go on waiting.
+    places = FindSomePlaces(workers, MakePlacementRequest(step, 1, false));
   }
   for (std::size_t position = 0; position < places.size(); ++position) {
     TaskUnit& unit = aJob.Units()[aGroup.units[position].unit];
@@ -248,6 +260,32 @@
   }
 }
 
+/** Whether the unit has waited so long beside ample room that it has to start
+ * away from the rack that it prefers. That applies to jobs
+ * with nothing running once no more jobs arrive, and to tasks that never end by
+ * themselves at any time. */
+bool
+DomainPass::IsOverdueInAmpleRoom(const TrackedJob& aJob,
+                                 TaskUnit& aUnit,
+                                 const UnitRef& aRef)
+{
+  const bool isEndless = aJob.StepOf(aUnit).IsEndless();
+  aUnit.NoteAmpleRoom((isEndless || aJob.Idle()) &&
+                        this->view.HasAmpleRoom(aJob, aUnit, aRef),
+                      this->now);
+  return aUnit.AmpleRoomSince() &&
+         this->now >= *aUnit.AmpleRoomSince() + kMaxAmpleRoomWait &&
+         (isEndless || this->IsQuiet());
+}
+
+bool
+DomainPass::IsQuiet() const
+{
+  return std::ranges::none_of(this->domain->Jobs(), [this](const auto& aEntry) {
+    return this->now < aEntry.second.FirstSeen() + kQuietTime;
+  });
+}
+
 /** Whether batch work may still wait behind other work: it has waited less than
  * BatchWaitShare() of the slack that its objective leaves it. */
 bool
@@ -320,7 +358,8 @@
 std::optional<std::vector<WorkerName>>
 DomainPass::PlaceGang(const TrackedJob& aJob,
                       const TaskUnit& aUnit,
-                      const UnitRef& aRef)
+                      const UnitRef& aRef,
+                      bool aIsOverdue)
 {
   const JobStep& step = aJob.StepOf(aUnit);
   const PlacementRequest local =
@@ -331,7 +370,8 @@
   if (places || local == anywhere) {
     return places;
   }
-  const bool mayWait = this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
+  const bool mayWait =
+    !aIsOverdue && this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
   if (mayWait && CouldFit(this->view.CandidatesFor(aJob, aUnit, aRef), local)) {
     return std::nullopt;
   }
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -48,6 +48,11 @@
   void Serve(const WaitingGroup& aGroup);
   void ServeGang(TrackedJob& aJob, TaskUnit& aUnit, const UnitRef& aRef);
   void ServeTasks(TrackedJob& aJob, const WaitingGroup& aGroup);
+  bool IsOverdueInAmpleRoom(const TrackedJob& aJob,
+                            TaskUnit& aUnit,
+                            const UnitRef& aRef);
+  /** Whether no job has arrived for some time. */
+  bool IsQuiet() const;
   bool IsDeferrable(const TrackedJob& aJob, const JobStep& aStep) const;
   static Milliseconds ShareOfSlack(const TrackedJob& aJob,
                                    Milliseconds aRunTime,
@@ -59,7 +64,8 @@
              const std::vector<WorkerName>& aPlaces);
   std::optional<std::vector<WorkerName>> PlaceGang(const TrackedJob& aJob,
                                                    const TaskUnit& aUnit,
-                                                   const UnitRef& aRef);
+                                                   const UnitRef& aRef,
+                                                   bool aIsOverdue);
   Milliseconds Waited(const TrackedJob& aJob) const;
   /** How long a job may wait for the rack that it prefers. */
   Milliseconds MaxLocalityWait(const TrackedJob& aJob,
--- a/zones/placement_view.cpp
+++ b/zones/placement_view.cpp
@@ -173,6 +173,19 @@
   return this->PoolOf(aService).totalAccelerators;
 }
 
+bool
+PlacementView::HasAmpleRoom(const TrackedJob& aJob,
+                            const TaskUnit& aUnit,
+                            const UnitRef& aRef)
+{
+  const Resources& need = aJob.StepOf(aUnit).Need();
+  std::int64_t fitting = 0;
+  for (const CandidateWorker& worker : this->CandidatesFor(aJob, aUnit, aRef)) {
+    fitting += std::min(worker.Free().CountFitting(need), worker.MaxTasks());
+  }
+  return fitting >= 2 * static_cast<std::int64_t>(aUnit.Count());
+}
+
 bool
 PlacementView::IsUnrestricted(const TrackedJob& aJob,
                               const TaskUnit& aUnit,
--- a/zones/placement_view.h
+++ b/zones/placement_view.h
@@ -50,6 +50,10 @@
 
   std::int64_t FreeAccelerators(const ServiceName& aService);
   std::int64_t TotalAccelerators(const ServiceName& aService);
+  /** Whether the unit fits twice into what is free, in any racks. */
+  bool HasAmpleRoom(const TrackedJob& aJob,
+                    const TaskUnit& aUnit,
+                    const UnitRef& aRef);
 
 private:
   struct Pool
--- a/zones/task_unit.cpp
+++ b/zones/task_unit.cpp
@@ -97,6 +97,7 @@
   this->startedAt = aNow;
   this->lastProgress = aNow;
   this->allRunningSince.reset();
+  this->ampleRoomSince.reset();
   this->isRemote = false;
   this->isInherited = false;
   this->isResumed = !this->checkpoint.empty();
--- a/zones/task_unit.h
+++ b/zones/task_unit.h
@@ -73,6 +73,19 @@
     return this->reclaimTried;
   }
   void NoteReclaimTried(Instant aNow) { this->reclaimTried = aNow; }
+  /** Since when the unit has waited although its service had ample room; empty
+   * while it had not. */
+  const std::optional<Instant>& AmpleRoomSince() const
+  {
+    return this->ampleRoomSince;
+  }
+  /** Records whether there is ample room for the unit now. */
+  void NoteAmpleRoom(bool aHasRoom, Instant aNow)
+  {
+    this->ampleRoomSince =
+      aHasRoom ? std::optional(this->ampleRoomSince.value_or(aNow))
+               : std::nullopt;
+  }
   /** Lowest progress that any member has reported, in percent. */
   std::int32_t Percent() const;
   /** When the reported progress of a member last changed. */
@@ -133,6 +146,7 @@
   bool isResumed = false;
   bool isInherited = false;
   std::optional<Instant> reclaimTried;
+  std::optional<Instant> ampleRoomSince;
 };
 
 }
