Start overdue work in the headroom when no more jobs arrive

Cause: batch work leaves 42 % of the accelerators free for three quarters of the slack of its objective, by the typical run time of its queue or, while a holder knows none, by the declared one; other work leaves 10 % for ever. A task that never ends by itself was kept out of the last tenth for ever, although it must run whenever it fits twice.

--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -13,6 +13,8 @@
 constexpr std::int64_t kReclaimMs = 3000;
 /** By when after the last arrival every job must run or have run. */
 constexpr std::int64_t kFinishMs = 14'000;
+/** How long a job may have nothing running beside ample room. */
+constexpr std::int64_t kMaxIdleMs = 3000;
 constexpr Milliseconds kLongEstimate{ 20'000 };
 
 /** Submits a batch job of aTasks tasks, each of which needs a quarter of a
@@ -47,6 +49,8 @@
   CPPUNIT_TEST(GangPreferringOneRackStartsInAmpleRoomAfterLastArrival);
   CPPUNIT_TEST(GangPreferringOneRackWaitsForItWhileJobsArrive);
   CPPUNIT_TEST(TaskAwayFromItsDataStartsInAmpleRoomAfterLastArrival);
+  CPPUNIT_TEST(BatchTaskStartsInHeadroomAfterLastArrival);
+  CPPUNIT_TEST(EndlessTaskStartsInHeadroomWhileJobsArrive);
   CPPUNIT_TEST(GangLargerThanRackSpansRacks);
   CPPUNIT_TEST(GuaranteedJobPreemptsBurstOfBatchWork);
   CPPUNIT_TEST(BatchWorkLeavesHeadroomForUrgentJobs);
@@ -170,6 +174,33 @@
     CPPUNIT_ASSERT(StartsWithin(world, "far", kFinishMs));
   }
 
+  // Batch work was kept out of the headroom for urgent jobs although no more
+  // jobs arrived and most of the fleet's cores were free.
+  void BatchTaskStartsInHeadroomAfterLastArrival()
+  {
+    DomainWorld world(4, 4);
+    SubmitUrgentWork(world, 10);
+    world.Submit(
+      MakeAdmitted(
+        "batch", 2, { Valid(QuarterStep(1).Estimate(kLongEstimate)) }),
+      kLongMs,
+      false);
+    CPPUNIT_ASSERT(StartsWithin(world, "batch", kFinishMs));
+  }
+
+  // A task that never ends by itself must run at any time if there is room for
+  // it twice over, however full the fleet is; it waited for headroom for ever.
+  void EndlessTaskStartsInHeadroomWhileJobsArrive()
+  {
+    DomainWorld world(4, 4);
+    SubmitUrgentWork(world, 14);
+    world.Submit(
+      MakeAdmitted("endless", 1, { Valid(QuarterStep(1).IsEndless(true)) }),
+      kLongMs,
+      false);
+    CPPUNIT_ASSERT(StartsWithin(world, "endless", kMaxIdleMs));
+  }
+
   void GangLargerThanRackSpansRacks()
   {
     DomainWorld world(4, 2);
@@ -675,6 +706,19 @@
       false);
   }
 
+  /** Submits urgent tasks that need two accelerators and hardly any cores. */
+  static void SubmitUrgentWork(DomainWorld& aWorld, std::int32_t aTasks)
+  {
+    aWorld.PollAll();
+    aWorld.Submit(MakeAdmitted("urgent",
+                               0,
+                               { Valid(QuarterStep(aTasks).Need(
+                                 MakeResources(1000, 1000, 2))) }),
+                  kLongMs,
+                  false);
+    aWorld.Pass({});
+  }
+
   static void SubmitWithoutAccelerators(DomainWorld& aWorld,
                                         std::int64_t aNumber)
   {
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -32,8 +32,9 @@
 /** A job with nothing running may wait 3 s while its service has ample room for
  * it; the rest of that time is for the store and the orders. */
 constexpr Milliseconds kMaxAmpleRoomWait{ 2000 };
-/** While jobs arrive, work away from its rack takes room from others. Without
- * an arrival for this time, room is not kept for work to come. */
+/** While jobs arrive, others are expected that need the headroom, and work away
+ * from its rack takes room from them. Without an arrival for this time, room is
+ * not kept for work to come. */
 constexpr Milliseconds kQuietTime{ 5000 };
 
 StopCause
@@ -215,7 +216,8 @@
 DomainPass::ServeGang(TrackedJob& aJob, TaskUnit& aUnit, const UnitRef& aRef)
 {
   const bool isOverdue = this->IsOverdueInAmpleRoom(aJob, aUnit, aRef);
-  if (aUnit.Count() > this->MaxTasksWithinHeadroom(aJob, aJob.StepOf(aUnit))) {
+  if (!isOverdue &&
+      aUnit.Count() > this->MaxTasksWithinHeadroom(aJob, aJob.StepOf(aUnit))) {
     return;
   }
   const auto places = this->PlaceGang(aJob, aUnit, aRef, isOverdue);
@@ -234,9 +236,11 @@
   const JobStep& step = aJob.StepOf(first);
   const bool isOverdue =
     this->IsOverdueInAmpleRoom(aJob, first, aGroup.units.front());
+  // An overdue job gets one task started; the others go on waiting.
+  const std::int32_t limit =
+    std::max(this->MaxTasksWithinHeadroom(aJob, step), isOverdue ? 1 : 0);
   const std::int32_t count =
-    std::min(static_cast<std::int32_t>(aGroup.units.size()),
-             this->MaxTasksWithinHeadroom(aJob, step));
+    std::min(static_cast<std::int32_t>(aGroup.units.size()), limit);
   if (count < 1) {
     return;
   }
@@ -248,7 +252,6 @@
       this->Waited(aJob) >= this->MaxLocalityWait(aJob, step)) {
     places = FindSomePlaces(workers, MakePlacementRequest(step, count, false));
   } else if (places.empty() && isOverdue) {
-    // One task of an overdue job starts; the others go on waiting.
     places = FindSomePlaces(workers, MakePlacementRequest(step, 1, false));
   }
   for (std::size_t position = 0; position < places.size(); ++position) {
@@ -261,7 +264,7 @@
 }
 
 /** Whether the unit has waited so long beside ample room that it has to start
- * away from the rack that it prefers. That applies to jobs
+ * without headroom and away from the rack that it prefers. That applies to jobs
  * with nothing running once no more jobs arrive, and to tasks that never end by
  * themselves at any time. */
 bool
