Judge ample room only after the last arrival, and read seconds in one place

Cause: every pass judged for every waiting job whether it fits twice into the free room, and went through all jobs for the latest arrival, also while jobs arrive, when the answer isn't used. Two readers of settings in seconds had come from two parts. Change: DomainState keeps the latest arrival; room is judged for tasks that never end and, once no more jobs arrive, for jobs with nothing running. YamlReader::Seconds() serves both settings. Measured: tests of codecs, daemon, links and core pass.

--- a/codecs/domain_host_settings_yaml.cpp
+++ b/codecs/domain_host_settings_yaml.cpp
@@ -22,7 +22,8 @@
 constexpr double kMaxCoreShare = 1024.0;
 /** One hour. A longer time is refused as a probable mistake in the unit. */
 constexpr std::int64_t kMaxDurationMs = 3'600'000;
-constexpr double kMinSeconds = 0.001;
+constexpr double kMinRestartS = 0.1;
+constexpr double kMaxRestartS = 3600.0;
 
 Milliseconds
 ReadDuration(YamlReader& aReader,
@@ -33,17 +34,6 @@
     aReader.Integer(aKey, aDefault.count(), 1, kMaxDurationMs));
 }
 
-Milliseconds
-ReadSeconds(YamlReader& aReader, const std::string& aKey, Milliseconds aDefault)
-{
-  using Seconds = std::chrono::duration<double>;
-  return std::chrono::duration_cast<Milliseconds>(
-    Seconds(aReader.Number(aKey,
-                           Seconds(aDefault).count(),
-                           kMinSeconds,
-                           Seconds(Milliseconds(kMaxDurationMs)).count())));
-}
-
 std::optional<DomainTiming>
 ReadTiming(YamlReader& aReader, Reason& aReason)
 {
@@ -54,8 +44,8 @@
       ReadDuration(aTiming, "holder_lease_ms", defaults.HolderLease()));
     timing.WorkerLease(
       ReadDuration(aTiming, "worker_lease_ms", defaults.WorkerLease()));
-    timing.RestartTime(
-      ReadSeconds(aTiming, "restart_s", defaults.RestartTime()));
+    timing.RestartTime(aTiming.Seconds(
+      "restart_s", defaults.RestartTime(), kMinRestartS, kMaxRestartS));
     timing.StopTime(ReadDuration(aTiming, "stop_ms", defaults.StopTime()));
     timing.ReclaimTime(
       ReadDuration(aTiming, "reclaim_ms", defaults.ReclaimTime()));
--- a/codecs/host_settings_yaml.cpp
+++ b/codecs/host_settings_yaml.cpp
@@ -68,12 +68,7 @@
 Milliseconds
 ReadGraceTime(YamlReader& aReader, Milliseconds aDefault)
 {
-  const std::chrono::duration<double> seconds(
-    aReader.Number("grace_s",
-                   std::chrono::duration<double>(aDefault).count(),
-                   kMinGraceS,
-                   kMaxGraceS));
-  return std::chrono::round<Milliseconds>(seconds);
+  return aReader.Seconds("grace_s", aDefault, kMinGraceS, kMaxGraceS);
 }
 
 std::optional<HostSettings>
--- a/codecs/yaml_reader.cpp
+++ b/codecs/yaml_reader.cpp
@@ -132,6 +132,18 @@
   return number;
 }
 
+Milliseconds
+YamlReader::Seconds(const std::string& aKey,
+                    Milliseconds aDefault,
+                    double aMin,
+                    double aMax)
+{
+  using DoubleSeconds = std::chrono::duration<double>;
+  const DoubleSeconds seconds(
+    this->Number(aKey, DoubleSeconds(aDefault).count(), aMin, aMax));
+  return std::chrono::round<Milliseconds>(seconds);
+}
+
 Endpoint
 YamlReader::Address(const std::string& aKey)
 {
--- a/codecs/yaml_reader.h
+++ b/codecs/yaml_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/instant.h"
 #include "core/reason.h"
 
 #include <cstdint>
@@ -52,6 +53,12 @@
                 double aDefault,
                 double aMin,
                 double aMax);
+  /** Duration of an optional number of seconds from aMin to aMax; an invalid
+   * value is recorded as an error and replaced by the default. */
+  Milliseconds Seconds(const std::string& aKey,
+                       Milliseconds aDefault,
+                       double aMin,
+                       double aMax);
   /** Required IP:PORT; an invalid one is recorded as an error and read as an
    * empty endpoint. */
   Endpoint Address(const std::string& aKey);
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -272,21 +272,13 @@
                                  TaskUnit& aUnit,
                                  const UnitRef& aRef)
 {
-  const bool isEndless = aJob.StepOf(aUnit).IsEndless();
-  aUnit.NoteAmpleRoom((isEndless || aJob.Idle()) &&
-                        this->view.HasAmpleRoom(aJob, aUnit, aRef),
+  const bool isQuiet = this->now >= this->domain->LastArrival() + kQuietTime;
+  const bool isJudged =
+    aJob.StepOf(aUnit).IsEndless() || (isQuiet && aJob.Idle());
+  aUnit.NoteAmpleRoom(isJudged && this->view.HasAmpleRoom(aJob, aUnit, aRef),
                       this->now);
   return aUnit.AmpleRoomSince() &&
-         this->now >= *aUnit.AmpleRoomSince() + kMaxAmpleRoomWait &&
-         (isEndless || this->IsQuiet());
-}
-
-bool
-DomainPass::IsQuiet() const
-{
-  return std::ranges::none_of(this->domain->Jobs(), [this](const auto& aEntry) {
-    return this->now < aEntry.second.FirstSeen() + kQuietTime;
-  });
+         this->now >= *aUnit.AmpleRoomSince() + kMaxAmpleRoomWait;
 }
 
 /** Whether batch work may still wait behind other work: it has waited less than
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -51,8 +51,6 @@
   bool IsOverdueInAmpleRoom(const TrackedJob& aJob,
                             TaskUnit& aUnit,
                             const UnitRef& aRef);
-  /** Whether no job has arrived for some time. */
-  bool IsQuiet() const;
   bool IsDeferrable(const TrackedJob& aJob, const JobStep& aStep) const;
   static Milliseconds ShareOfSlack(const TrackedJob& aJob,
                                    Milliseconds aRunTime,
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -34,6 +34,7 @@
   : timing(aTiming)
   , holderSince(aHolderSince)
   , renewedUntil(aRenewedUntil)
+  , lastArrival(aHolderSince)
 {
 }
 
@@ -53,6 +54,7 @@
   if (!isNew) {
     return;
   }
+  this->lastArrival = aNow;
   TrackedJob& job = position->second;
   if (aProgress) {
     job.Restore(*aProgress);
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -44,6 +44,8 @@
               const std::optional<JobProgress>& aProgress,
               std::int64_t aRevision,
               Instant aNow);
+  /** When the latest job was added; the start of the term before that. */
+  Instant LastArrival() const { return this->lastArrival; }
   void CancelJob(const JobKey& aJob, Instant aNow);
   TrackedJob* FindJob(const JobKey& aJob);
   std::map<JobKey, TrackedJob>& Jobs() { return this->jobs; }
@@ -180,6 +182,7 @@
   DomainTiming timing;
   Instant holderSince;
   Instant renewedUntil;
+  Instant lastArrival;
   std::map<JobKey, TrackedJob> jobs;
   std::set<JobKey> active;
   /** Archived jobs, with the time from which their retention counts. */
