Let the linter parse the check of idle waits

Clang 14 can't capture a structured binding in a lambda, so the search for a waiting unit is a function of its own; a vector is reserved.

--- a/tests/model/idle_wait_check.cpp
+++ b/tests/model/idle_wait_check.cpp
@@ -68,6 +68,19 @@
   return room >= 2 * static_cast<std::int64_t>(aUnit.Count());
 }
 
+/** The job's first unit that could start; null when there is none. */
+const TaskUnit*
+IdleWaitCheck::FindWaiting(const TrackedJob& aJob,
+                           const FleetModel& aFleet) const
+{
+  const auto found = std::find_if(
+    aJob.Units().begin(), aJob.Units().end(), [&](const TaskUnit& aUnit) {
+      return !aUnit.Done() && aJob.AreDependenciesDone(aUnit) &&
+             this->HasRoomTwice(aJob, aUnit, aFleet);
+    });
+  return found == aJob.Units().end() ? nullptr : &*found;
+}
+
 void
 IdleWaitCheck::Observe(Instant aNow,
                        DomainState& aDomain,
@@ -78,13 +91,9 @@
   const Resources total = this->TotalOf(aFleet);
   const bool isHalfFree = 2.0 * CoreEquivalents(used) < CoreEquivalents(total);
   for (const auto& [key, job] : aDomain.Jobs()) {
-    const auto waiting = std::find_if(
-      job.Units().begin(), job.Units().end(), [&](const TaskUnit& aUnit) {
-        return !aUnit.Done() && job.AreDependenciesDone(aUnit) &&
-               this->HasRoomTwice(job, aUnit, aFleet);
-      });
-    const bool isIdle = isHalfFree && !job.Final() && !aFleet.HasRuns(key) &&
-                        waiting != job.Units().end();
+    const TaskUnit* waiting = this->FindWaiting(job, aFleet);
+    const bool isIdle =
+      isHalfFree && !job.Final() && !aFleet.HasRuns(key) && waiting != nullptr;
     if (!isIdle) {
       this->idleSince.erase(key);
       continue;
--- a/tests/model/idle_wait_search.cpp
+++ b/tests/model/idle_wait_search.cpp
@@ -42,6 +42,7 @@
       static_cast<std::size_t>(aSeedCount));
     std::atomic<int> next{ 0 };
     std::vector<std::future<void>> threads;
+    threads.reserve(kThreads);
     for (int thread = 0; thread < kThreads; ++thread) {
       threads.push_back(std::async(std::launch::async, [&, used = policy] {
         for (int seed = next++; seed < aSeedCount; seed = next++) {
