--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -42,16 +42,9 @@
                Orders& aOrders,
                DomainTiming aTiming,
                DomainPolicy aPolicy,
-               std::int64_t aTerm,
-               std::int64_t aTermRevision,
+               const DomainGain& aGain,
                Callbacks aCallbacks)
-    : Term(aContext,
-           aStore,
-           aOrders,
-           aTiming,
-           aTerm,
-           aTermRevision,
-           std::move(aCallbacks))
+    : Term(aContext, aStore, aOrders, aTiming, aGain, std::move(aCallbacks))
     , policy(aPolicy)
     , poller(*this)
     , feeds(*this, this->poller)
@@ -70,8 +63,8 @@
     this->Spawn([this] { return this->Run(); });
   }
 
-  /** Applies the teams' guarantees of a new configuration and requests a
-   * scheduling pass. */
+  /** Applies the teams' guarantees and the queues' names of a new configuration
+   * and requests a scheduling pass. */
   void Adopt(const ServiceCatalog& aCatalog)
   {
     std::map<TeamName, std::int64_t> guarantees;
@@ -79,6 +72,11 @@
       guarantees[team.Team()] = team.Guaranteed();
     }
     this->Domain().SetGuarantees(std::move(guarantees));
+    std::map<QueueAddress, QueueName> queueNames;
+    for (const JobQueue& queue : aCatalog.Queues()) {
+      queueNames[queue.Address()] = queue.Name();
+    }
+    this->Domain().SetQueueNames(std::move(queueNames));
     this->RequestPass();
   }
 
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -61,6 +61,9 @@
   {
   }
 
+  /** Retries of calls end by aTime, whatever the calls' deadlines. */
+  void AnswerBy(Instant aTime) { this->answerBy = aTime; }
+
   /** Serves one call, logs it and counts it. Retries of a submit or a
    * cancellation stop shortly before the call's deadline. */
   boost::asio::awaitable<JobReply> Answer(JobCall aCall)
@@ -81,7 +84,7 @@
         reply = co_await this->Cancel(aCall, *callContext);
         break;
       case JobCall::Kind::kShow:
-        reply = co_await this->Show(*callContext);
+        reply = co_await this->ShowWithRetries(aCall, *callContext);
         break;
       case JobCall::Kind::kOther:
         reply = Refuse(JobReply::Kind::kMalformed, "no such method");
@@ -103,6 +106,10 @@
    * sent. */
   static constexpr Milliseconds kAnswerMargin{ 100 };
   static constexpr Milliseconds kRetryPause{ 60 };
+  /** Number of times that a caller's question is read from the store. A host
+   * that cannot read refuses soon, while the caller has time left to ask
+   * another one. */
+  static constexpr int kMaxReads = 3;
   /** Time after which a refused caller should retry. An outage of the store or
    * of the path to it lasts seconds, and another host may be able to
    * serve the call. */
@@ -194,7 +201,8 @@
 
   bool IsTimeLeft(const JobCall& aCall) const
   {
-    return Clock::now() + kAnswerMargin < aCall.deadline;
+    return Clock::now() + kAnswerMargin <
+           std::min(aCall.deadline, this->answerBy);
   }
 
   boost::asio::awaitable<JobReply> Submit(JobCall aCall,
@@ -288,6 +296,7 @@
     const auto job = AdmittedJobBuilder()
                        .Key(aCallContext.job)
                        .Queue(aCallContext.queue.Name())
+                       .Address(aCallContext.queue.Address())
                        .Service(aCallContext.queue.Service())
                        .Team(aCallContext.team)
                        .Priority(aCallContext.queue.Priority())
@@ -297,8 +306,10 @@
                        .Admitted(now)
                        .Plan(aPlan)
                        .Build(ignored);
-    const auto progress =
-      JobProgressBuilder().Queue(aCallContext.queue.Name()).Build(ignored);
+    const auto progress = JobProgressBuilder()
+                            .Queue(aCallContext.queue.Name())
+                            .Address(aCallContext.queue.Address())
+                            .Build(ignored);
     std::vector<TableCheck> checks;
     std::vector<TableWrite> writes;
     AddCheck(checks, kJobTable, aCallContext.job.Text(), 0);
@@ -341,6 +352,24 @@
     return this->ResolveCallIn(*catalog, aCall, aReply);
   }
 
+  /** Repeats a read that fails, unless the store leaves calls unanswered. */
+  boost::asio::awaitable<JobReply> ShowWithRetries(JobCall aCall,
+                                                   CallContext aCallContext)
+  {
+    JobReply reply = co_await this->Show(aCallContext);
+    for (int reads = 1;
+         reads < kMaxReads && reply.kind == JobReply::Kind::kNotRun;
+         ++reads) {
+      co_await Pause(*this->context, kRetryPause);
+      if (!this->IsTimeLeft(aCall) ||
+          this->storeHealth.IsUnresponsive(Clock::now())) {
+        break;
+      }
+      reply = co_await this->Show(aCallContext);
+    }
+    co_return reply;
+  }
+
   boost::asio::awaitable<JobReply> Show(CallContext aCallContext)
   {
     if (aCallContext.job.Empty()) {
@@ -351,7 +380,8 @@
     std::int64_t revision = 0;
     const std::optional<JobProgress> progress =
       co_await this->ReadProgress(aCallContext.job, revision, reason);
-    if (progress && progress->Queue() == aCallContext.queue.Name()) {
+    if (progress &&
+        aCallContext.queue.Contains(progress->Queue(), progress->Address())) {
       JobReply reply = MakeReply(JobReply::Kind::kState);
       reply.state = progress->State();
       co_return reply;
@@ -417,7 +447,8 @@
       const std::optional<JobProgress> progress =
         co_await this->ReadProgress(aCallContext.job, revision, reason);
       const bool isUnknown = !progress && reason.At() == Step::kAdmission;
-      if (progress && progress->Queue() != aCallContext.queue.Name()) {
+      if (progress && !aCallContext.queue.Contains(progress->Queue(),
+                                                   progress->Address())) {
         co_return Refuse(JobReply::Kind::kNoJob, "no such job");
       }
       if (progress && IsFinal(progress->State())) {
@@ -487,6 +518,7 @@
     Reason ignored; // The stored progress has a queue.
     const auto cancelled = JobProgressBuilder()
                              .Queue(aProgress.Queue())
+                             .Address(aProgress.Address())
                              .State(JobState::kCancelled)
                              .Marks(aProgress.Marks())
                              .FailedRuns(aProgress.FailedRuns())
@@ -541,6 +573,7 @@
   DomainMetrics* metrics;
   StoreHealth storeHealth;
   Milliseconds maxConfirmationAge;
+  Instant answerBy = Instant::max();
   CatalogCallback onCatalogRow;
 };
 
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -1,6 +1,5 @@
 #include "tests/scheduling/domain_world.h"
 
-#include "contracts/domain_timing_builder.h"
 #include "contracts/ended_task_builder.h"
 #include "contracts/job_progress_builder.h"
 #include "contracts/running_task_builder.h"
@@ -85,12 +84,16 @@
 
 }
 
-DomainWorld::DomainWorld(std::int32_t aWorkers, std::int32_t aWorkersPerRack)
+DomainWorld::DomainWorld(std::int32_t aWorkers,
+                         std::int32_t aWorkersPerRack,
+                         DomainTiming aTiming)
+  : timing(aTiming)
 {
   for (std::int32_t worker = 0; worker < aWorkers; ++worker) {
     SiteWorker made;
     made.name = "w" + std::to_string(worker);
     made.rack = "r" + std::to_string(worker / aWorkersPerRack);
+    made.maxLeaseMs = this->timing.WorkerLease().count();
     this->site.workers[made.name] = made;
   }
   this->TakeOver();
@@ -127,6 +130,19 @@
   this->domain->AddJob(aJob, std::nullopt, stored.revision, this->Now());
 }
 
+void
+DomainWorld::FailFirst(const std::string& aJob,
+                       std::int32_t aFailures,
+                       bool aOnAllMembers)
+{
+  for (auto& [name, step] : this->site.steps) {
+    if (name.starts_with(aJob + ".")) {
+      step.failures = aFailures;
+      step.failsOnAllMembers = aOnAllMembers;
+    }
+  }
+}
+
 void
 DomainWorld::Cancel(const std::string& aJob)
 {
@@ -144,14 +160,14 @@
 }
 
 void
-DomainWorld::TakeOver()
+DomainWorld::TakeOver(bool aIsReleased)
 {
   ++this->term;
   this->unsentStarts.clear();
   this->reservations = PreemptionReservations();
-  this->domain.emplace(Valid(DomainTimingBuilder().WorkerLease(
-                         Milliseconds(SiteWorker::kMaxLeaseMs))),
-                       this->Now());
+  const Instant renewedUntil =
+    aIsReleased ? this->Now() : this->Now() + DomainTiming::kRenewalGrace;
+  this->domain.emplace(this->timing, this->Now(), renewedUntil);
   for (const auto& [name, worker] : this->site.workers) {
     this->domain->ListWorker(MakeListing(name, worker.rack), this->Now());
   }
@@ -352,6 +368,25 @@
   }
 }
 
+void
+DomainWorld::DrainWorker(const std::string& aWorker)
+{
+  SiteWorker& worker = this->site.workers.at(aWorker);
+  worker.isLeaving = true;
+  this->domain->ListWorker(MakeListing(aWorker, worker.rack, true),
+                           this->Now());
+}
+
+void
+DomainWorld::RemoveWorker(const std::string& aWorker)
+{
+  this->cutOff.insert(aWorker);
+  this->site.workers.erase(aWorker);
+  this->DropDelayedOrders(aWorker);
+  this->domain->PollFailed(WorkerName(aWorker));
+  this->domain->UnlistWorker(WorkerName(aWorker));
+}
+
 void
 DomainWorld::ReplaceWorker(const std::string& aWorker)
 {
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -28,9 +28,12 @@
 
 }
 
-DomainState::DomainState(DomainTiming aTiming, Instant aHolderSince)
+DomainState::DomainState(DomainTiming aTiming,
+                         Instant aHolderSince,
+                         Instant aRenewedUntil)
   : timing(aTiming)
   , holderSince(aHolderSince)
+  , renewedUntil(aRenewedUntil)
 {
 }
 
@@ -112,6 +115,19 @@
   return found == this->guarantees.end() ? 0 : found->second;
 }
 
+void
+DomainState::SetQueueNames(std::map<QueueAddress, QueueName> aNames)
+{
+  this->queueNames = std::move(aNames);
+}
+
+const QueueName&
+DomainState::CurrentQueueName(const AdmittedJob& aJob) const
+{
+  const auto found = this->queueNames.find(aJob.Address());
+  return found == this->queueNames.end() ? aJob.Queue() : found->second;
+}
+
 void
 DomainState::ListWorker(const WorkerListing& aListing, Instant aNow)
 {
@@ -154,9 +170,7 @@
   if (isIncarnationKnown) {
     return !found->second.IsLeaseExpired(aNow);
   }
-  const Milliseconds longest =
-    this->timing.WorkerLease() + DomainTiming::kRenewalGrace + kLeaseMargin;
-  return aNow < this->holderSince + longest;
+  return aNow < this->renewedUntil + this->timing.GrantedLease() + kLeaseMargin;
 }
 
 Instant
@@ -228,7 +242,8 @@
     worker->RecordAnswer(aReport.Incarnation(), aReport.ClockMs(), aReceived);
   if (isFirst || isRestarted) {
     // An earlier holder may have granted the longest lease.
-    worker->RecordLease(aReport.ClockMs() + this->timing.WorkerLease().count());
+    worker->RecordLease(aReport.ClockMs() +
+                        this->timing.GrantedLease().count());
   }
   std::vector<EndedTask> newEnds;
   for (const EndedTask& end : aReport.Ended()) {
@@ -385,8 +400,10 @@
   if (worker == nullptr || !worker->IsIncarnationConfirmed()) {
     return 0;
   }
-  const std::int64_t until =
-    worker->ClockAt(aNow) + this->timing.WorkerLease().count();
+  const Milliseconds lease = worker->LeavingSince()
+                               ? this->timing.LeavingLease()
+                               : this->timing.GrantedLease();
+  const std::int64_t until = worker->ClockAt(aNow) + lease.count();
   worker->RecordLease(until);
   return until;
 }
@@ -623,7 +640,7 @@
   for (const JobKey& key : this->active) {
     const TrackedJob& job = this->jobs.at(key);
     if (!job.Final() && !job.HasStarted()) {
-      ++pending[job.Job().Queue()];
+      ++pending[this->CurrentQueueName(job.Job())];
     }
   }
   return pending;
