Let small hosts take a released domain over without a further pause

A host with less than a quarter of a core pauses for half a lease after each change of the owner's row, so that it isn't told of every renewal. It paused after a release too, and again after the row of a takeover that was released before the pause ended. Without a larger host, the domain then had no holder for up to half a lease longer than the delay of its share.

A host now pauses only when the domain can't be taken over before the end of the pause, which always holds for a renewed lease and never for a released one.

SmallHostTakesReleasedDomainOverAtOnce failed before and passes now.

--- a/scheduling/lease_loop.h
+++ b/scheduling/lease_loop.h
@@ -293,7 +293,8 @@
     }
     if (!this->isStopping && Clock::now() >= this->TakeoverTime()) {
       co_await this->TakeOver();
-    } else if (row != nullptr && this->watchPause.count() > 0) {
+    } else if (row != nullptr && this->watchPause.count() > 0 &&
+               Clock::now() + this->watchPause < this->TakeoverTime()) {
       co_await Pause(*this->context, this->watchPause);
     }
   }
@@ -466,7 +467,8 @@
   Store* store;
   Milliseconds length;
   Milliseconds takeoverDelay{ 0 };
-  /** Pause after each observed renewal. */
+  /** Pause after each observed renewal, unless the domain may be taken over
+   * before its end. */
   Milliseconds watchPause{ 0 };
   DomainLease lease;
   std::atomic<Instant> exclusiveUntil{ Instant() };
--- a/tests/scheduling/lease_loop_test.cpp
+++ b/tests/scheduling/lease_loop_test.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Milliseconds kLease{ 400 };
+/** Longer than the delays that keep hosts from taking over together. */
+constexpr Milliseconds kLongLease{ 2000 };
 constexpr Milliseconds kMaxRun{ 5000 };
 constexpr Milliseconds kFeedWait{ 5 };
 
@@ -76,6 +78,7 @@
   CPPUNIT_TEST(StopDuringTakeoverReleasesDomain);
   CPPUNIT_TEST(StopDuringTakeoverWithLostAnswerReleasesDomain);
   CPPUNIT_TEST(StopDuringTakeoverThatIsNotStoredReleasesDomain);
+  CPPUNIT_TEST(SmallHostTakesReleasedDomainOverAtOnce);
   CPPUNIT_TEST(RefusedReleaseIsRepeated);
   CPPUNIT_TEST(ReleaseWithLostAnswerIsRepeated);
   CPPUNIT_TEST_SUITE_END();
@@ -148,6 +151,27 @@
     CPPUNIT_ASSERT(loop.ExclusiveUntil() < Clock::now());
   }
 
+  /** A host with a small share of a core reads renewals with pauses. It paused
+   * after a release as well, although no larger host took the domain over. */
+  void SmallHostTakesReleasedDomainOverAtOnce()
+  {
+    constexpr double kSmallShare = 0.2;
+    constexpr Milliseconds kShareDelay{ 480 };
+    constexpr Milliseconds kMaxHostDelay{ 40 };
+    constexpr Milliseconds kSlack{ 300 };
+    const std::string owner = R"({"host":"a","process":"p0","term":3,)";
+    this->store.Put(
+      kLeaseTable, kOwnerRow, owner + R"("renewal":1,"released":false})");
+    this->Add("b", kSmallShare, kLongLease);
+    this->context.run_for(kFeedWait);
+    const Instant releasedAt = Clock::now();
+    this->store.Put(
+      kLeaseTable, kOwnerRow, owner + R"("renewal":2,"released":true})");
+    this->RunUntilGains(1);
+    CPPUNIT_ASSERT(Clock::now() < releasedAt + kLongLease / 2 + kShareDelay +
+                                    kMaxHostDelay + kSlack);
+  }
+
   /** A host that was told to stop while its takeover was in flight kept the
    * domain until its lease expired, without any holder. */
   void StopDuringTakeoverReleasesDomain()
@@ -235,14 +259,16 @@
     CPPUNIT_ASSERT_EQUAL(1, this->losses);
   }
 
-  void Add(const std::string& aHost, double aShare)
+  void Add(const std::string& aHost,
+           double aShare,
+           Milliseconds aLease = kLease)
   {
     this->loops.push_back(std::make_unique<Loop>(
       this->context,
       this->store,
       HostName(aHost),
       "process of " + aHost,
-      kLease,
+      aLease,
       aShare,
       Loop::Listener{
         [this, aHost](std::int64_t aTerm, std::int64_t aRevision) {
