--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -20,12 +20,19 @@
 constexpr const char* kJob = "0123456789abcdef";
 
 std::string
-ConfigurationText(int aVersion, const std::string& aKeys)
+RouteText(const std::string& aName, const std::string& aPathPrefix)
 {
-  return R"({"Version":)" + std::to_string(aVersion) +
-         R"(,"Routes":[{"Name":"r1","Host":"a","PathPrefix":"/one/",)"
-         R"("Service":"s1"}],"Tenants":[{"Name":"t1","ApiKeys":[)" +
-         aKeys + "]}]}";
+  return R"({"Name":")" + aName + R"(","Host":"a","PathPrefix":")" +
+         aPathPrefix + R"(","Service":"s1"})";
+}
+
+std::string
+ConfigurationText(int aVersion,
+                  const std::string& aKeys,
+                  const std::string& aRoutes = RouteText("r1", "/one/"))
+{
+  return R"({"Version":)" + std::to_string(aVersion) + R"(,"Routes":[)" +
+         aRoutes + R"(],"Tenants":[{"Name":"t1","ApiKeys":[)" + aKeys + "]}]}";
 }
 
 }
@@ -39,6 +46,7 @@
   CPPUNIT_TEST(RepeatedSubmitStoresOneJob);
   CPPUNIT_TEST(LostCommitAnswerIsRetriedBeforeReply);
   CPPUNIT_TEST(UnresolvedCommitIsReportedAsNotKnown);
+  CPPUNIT_TEST(RetriesOutlastStopOfHost);
   CPPUNIT_TEST(StoreRefusalRefusesCallWithoutRetry);
   CPPUNIT_TEST(JobBeyondTheStoresLimitsIsMalformed);
   CPPUNIT_TEST(KeyRevokedDuringSubmitStoresNothing);
@@ -50,18 +58,15 @@
   CPPUNIT_TEST(ArchivedJobIsShownAndNotRunAgain);
   CPPUNIT_TEST(UnknownJobIsReportedAsNoJob);
   CPPUNIT_TEST(UnknownKeyOrQueueIsRefused);
+  CPPUNIT_TEST(JobOfRenamedQueueIsShownAndCancelled);
+  CPPUNIT_TEST(JobOfMovedQueueIsShown);
+  CPPUNIT_TEST(JobOfAnotherQueueIsNoJob);
+  CPPUNIT_TEST(JobIsShownAfterAFailedRead);
+  CPPUNIT_TEST(UnreadableStoreRefusesShowSoon);
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  void setUp() override
-  {
-    this->store.Put("op", "config", ConfigurationText(3, "\"k1\""));
-    Reason reason;
-    const auto catalog =
-      platform::DecodeCatalog(*this->store.Find("op", "config"), reason);
-    this->currentCatalog.Publish(*catalog);
-    this->currentCatalog.NoteConfirmed(Clock::now());
-  }
+  void setUp() override { this->Configure(ConfigurationText(3, "\"k1\"")); }
 
   void StoredJobIsAccepted()
   {
@@ -95,6 +100,20 @@
     CPPUNIT_ASSERT(JobReply::Kind::kNotKnown == this->Submit().kind);
   }
 
+  /** A call that is tried again until its caller's deadline was cut off
+   * without an answer when the host ended before. */
+  void RetriesOutlastStopOfHost()
+  {
+    this->store.faults = { StoreFault::kLostUnapplied };
+    this->store.faults.resize(1000, StoreFault::kNotWritten);
+    JobCall call = this->MakeCall(JobCall::Kind::kSubmit);
+    call.deadline = Clock::now() + Milliseconds(10'000);
+    const Instant answerBy = Clock::now() + Milliseconds(400);
+    CPPUNIT_ASSERT(JobReply::Kind::kNotKnown ==
+                   this->Serve(call, answerBy).kind);
+    CPPUNIT_ASSERT(Clock::now() < answerBy);
+  }
+
   void StoreRefusalRefusesCallWithoutRetry()
   {
     this->store.isDown = true;
@@ -233,7 +252,87 @@
     CPPUNIT_ASSERT(JobReply::Kind::kNoQueue == this->Serve(call).kind);
   }
 
+  /** A new configuration gives the route another name. Its accepted jobs were
+   * answered as unknown while their tasks ran on. */
+  void JobOfRenamedQueueIsShownAndCancelled()
+  {
+    this->Submit();
+    this->Configure(ConfigurationText(4, "\"k1\"", RouteText("r2", "/one/")));
+    CPPUNIT_ASSERT(JobReply::Kind::kAccepted == this->Submit().kind);
+    const JobReply shown = this->Send(JobCall::Kind::kShow);
+    CPPUNIT_ASSERT(JobReply::Kind::kState == shown.kind);
+    CPPUNIT_ASSERT(JobState::kAdmitted == shown.state);
+    CPPUNIT_ASSERT(JobReply::Kind::kCancelled ==
+                   this->Send(JobCall::Kind::kCancel).kind);
+    CPPUNIT_ASSERT(JobState::kCancelled ==
+                   this->Send(JobCall::Kind::kShow).state);
+  }
+
+  /** The route keeps its name and gets another path prefix. */
+  void JobOfMovedQueueIsShown()
+  {
+    this->Submit();
+    this->Configure(ConfigurationText(4, "\"k1\"", RouteText("r1", "/two/")));
+    JobCall call = this->MakeCall(JobCall::Kind::kShow);
+    CPPUNIT_ASSERT(JobReply::Kind::kNoQueue == this->Serve(call).kind);
+    call.path = "/two/" + std::string(kJob);
+    CPPUNIT_ASSERT(JobReply::Kind::kState == this->Serve(call).kind);
+  }
+
+  /** A job must not be shown at a queue to which it was never submitted. */
+  void JobOfAnotherQueueIsNoJob()
+  {
+    this->Configure(ConfigurationText(
+      4, "\"k1\"", RouteText("r1", "/one/") + "," + RouteText("r2", "/two/")));
+    this->Submit();
+    JobCall call = this->MakeCall(JobCall::Kind::kShow);
+    call.path = "/two/" + std::string(kJob);
+    CPPUNIT_ASSERT(JobReply::Kind::kNoJob == this->Serve(call).kind);
+    call.kind = JobCall::Kind::kCancel;
+    CPPUNIT_ASSERT(JobReply::Kind::kNoJob == this->Serve(call).kind);
+    CPPUNIT_ASSERT(JobReply::Kind::kState ==
+                   this->Send(JobCall::Kind::kShow).kind);
+  }
+
+  /** A read fails once, for example on a connection that the store closes at
+   * that moment. The caller was told to come back, although the store answers.
+   */
+  void JobIsShownAfterAFailedRead()
+  {
+    this->Submit();
+    for (const char* path : { kPath, "/one/" }) {
+      this->store.failingReads = 1;
+      JobCall call = this->MakeCall(JobCall::Kind::kShow);
+      call.path = path;
+      CPPUNIT_ASSERT(JobReply::Kind::kNotRun != this->Serve(call).kind);
+      CPPUNIT_ASSERT_EQUAL(0, this->store.failingReads);
+    }
+  }
+
+  /** The caller must have time left to ask another host. */
+  void UnreadableStoreRefusesShowSoon()
+  {
+    this->Submit();
+    this->store.isDown = true;
+    JobCall call = this->MakeCall(JobCall::Kind::kShow);
+    const Instant sentAt = Clock::now();
+    call.deadline = sentAt + Milliseconds(3000);
+    CPPUNIT_ASSERT(JobReply::Kind::kNotRun == this->Serve(call).kind);
+    CPPUNIT_ASSERT(Clock::now() < sentAt + Milliseconds(750));
+  }
+
 private:
+  /** Stores a configuration and publishes it on this host. */
+  void Configure(const std::string& aText)
+  {
+    this->store.Put("op", "config", aText);
+    Reason reason;
+    const auto catalog =
+      platform::DecodeCatalog(*this->store.Find("op", "config"), reason);
+    this->currentCatalog.Publish(*catalog);
+    this->currentCatalog.NoteConfirmed(Clock::now());
+  }
+
   JobCall MakeCall(JobCall::Kind aKind) const
   {
     JobCall call;
@@ -252,7 +351,7 @@
     return this->Serve(this->MakeCall(aKind));
   }
 
-  JobReply Serve(const JobCall& aCall)
+  JobReply Serve(const JobCall& aCall, Instant aAnswerBy = Instant::max())
   {
     boost::asio::io_context context(1);
     DomainJobApi<FakeRowStore, platform::Schema> jobApi(
@@ -262,6 +361,7 @@
       this->metrics,
       Milliseconds(5000),
       [this](const TableRow&) { ++this->catalogRows; });
+    jobApi.AnswerBy(aAnswerBy);
     JobReply reply;
     boost::asio::co_spawn(context,
                           jobApi.Answer(aCall),
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/domain_timing.h"
 #include "tests/scheduling/sample_jobs.h"
 #include "tests/stand_ins/site_simulation.h"
 #include "zones/domain_state.h"
@@ -34,7 +35,9 @@
 class DomainWorld
 {
 public:
-  DomainWorld(std::int32_t aWorkers, std::int32_t aWorkersPerRack);
+  DomainWorld(std::int32_t aWorkers,
+              std::int32_t aWorkersPerRack,
+              DomainTiming aTiming = DomainTiming());
 
   SiteSimulation site;
   bool isStoreDown = false;
@@ -44,11 +47,17 @@
   std::vector<GivenUpRuns> givenUp;
 
   void Submit(const AdmittedJob& aJob, std::int64_t aWorkMs, bool aFails);
+  /** Makes the first aFailures runs of each unit of the job end as failed, on
+   * one member or on all of them. */
+  void FailFirst(const std::string& aJob,
+                 std::int32_t aFailures,
+                 bool aOnAllMembers);
   /** Stores a cancellation by the caller; the holder finds it during its next
    * pass. */
   void Cancel(const std::string& aJob);
-  /** Makes another process the holder; orders on their way remain. */
-  void TakeOver();
+  /** Makes another process the holder, after the release or the loss of the
+   * present one; orders on their way remain. */
+  void TakeOver(bool aIsReleased = false);
   /** Runs one scheduling pass: the holder decides, stores and sends orders.
    * Each order takes the next fault from the end of aFaults, and is answered
    * when there is none left. */
@@ -56,6 +65,11 @@
   void Poll(const std::string& aWorker, OrderFault aFault);
   void PollAll();
   void RestartWorker(const std::string& aWorker);
+  /** Lists the worker as leaving; it goes on until RemoveWorker(). */
+  void DrainWorker(const std::string& aWorker);
+  /** Ends the worker for good; nothing answers at its address any more, and it
+   * is not listed to the next holder. */
+  void RemoveWorker(const std::string& aWorker);
   /** Replaces the worker: a new incarnation answers at its address under
    * another name, and the former name stays listed for a while. */
   void ReplaceWorker(const std::string& aWorker);
@@ -95,6 +109,7 @@
   }
   void DropDelayedOrders(const std::string& aWorker);
 
+  DomainTiming timing;
   std::map<std::string, Stored> store;
   std::int64_t revision = 0;
   std::int64_t term = 0;
--- a/tests/scheduling/sample_jobs.h
+++ b/tests/scheduling/sample_jobs.h
@@ -66,6 +66,8 @@
     AdmittedJobBuilder()
       .Key(JobKey(aKey))
       .Queue(QueueName("queue-" + std::to_string(aPriority)))
+      .Address(
+        QueueAddress("a.example/queue-" + std::to_string(aPriority) + "/"))
       .Service(ServiceName("fretdesk"))
       .Team(TeamName("luthiers"))
       .Priority(aPriority)
@@ -77,7 +79,9 @@
 
 /** A worker of 64 cores, 128 GB and 8 accelerators. */
 inline WorkerListing
-MakeListing(const std::string& aName, const std::string& aRack)
+MakeListing(const std::string& aName,
+            const std::string& aRack,
+            bool aIsLeaving = false)
 {
   Reason reason;
   return Valid(WorkerListingBuilder()
@@ -86,7 +90,8 @@
                  .Address(*Endpoint::Parse("127.0.0.1:1", reason))
                  .Rack(RackName(aRack))
                  .Labels({ "a", aRack })
-                 .Capacity(MakeResources(64'000, 131'072, 8)));
+                 .Capacity(MakeResources(64'000, 131'072, 8))
+                 .IsLeaving(aIsLeaving));
 }
 
 }
