--- a/tests/history/domain_answers_test.cpp
+++ b/tests/history/domain_answers_test.cpp
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <sstream>
 #include <thread>
+#include <vector>
 
 namespace sardinecourse::harness {
 
@@ -78,6 +79,7 @@
 {
   std::atomic<int> next = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&next, &aCall] {
       for (int job = next++; job < kJobs; job = next++) {
