Play callers that stall in the soak of planned work

StallingCallers open connections ahead, stop in the middle of a head or a body, complete or read late, and leave.

--- a/tests/soak/domain_soak.cpp
+++ b/tests/soak/domain_soak.cpp
@@ -6,6 +6,7 @@
 #include "tests/soak/planned_work.h"
 #include "tests/soak/soak_callers.h"
 #include "tests/soak/soak_faults.h"
+#include "tests/soak/stalling_callers.h"
 
 #include <algorithm>
 #include <iostream>
@@ -184,6 +185,7 @@
 {
   constexpr int kPlannedHosts = 6;
   constexpr int kOpenCallers = 16;
+  constexpr int kStallingCallers = 4;
   constexpr Milliseconds kStoreDelay{ 3 };
   SiteDeployment site(kPlannedHosts, kWorkers);
   for (std::size_t host = 0; host < site.Hosts(); ++host) {
@@ -196,10 +198,16 @@
     site.StoreLink(host).SetDelay(kStoreDelay);
   }
   OpenCallers callers(site, kOpenCallers, aSeed);
+  StallingCallers stallingCallers(site, kStallingCallers, aSeed);
   PlannedWork work(site, aSeed);
   work.Run(Clock::now() + aLength);
   callers.Stop();
+  stallingCallers.Stop();
   std::vector<std::string> violations = callers.Violations();
+  const std::vector<std::string> stallingViolations =
+    stallingCallers.Violations();
+  violations.insert(
+    violations.end(), stallingViolations.begin(), stallingViolations.end());
   violations.insert(
     violations.end(), work.Violations().begin(), work.Violations().end());
   std::vector<SoakJob> jobs;
@@ -213,8 +221,9 @@
   const bool hasPassed = isSettled && violations.empty();
   std::cerr << "planned work, seed " << aSeed << ": " << work.Stops()
             << " stops, " << callers.Calls() << " calls, "
-            << callers.Unanswered() << " without an answer, " << jobs.size()
-            << " jobs accepted and not cancelled: "
+            << callers.Unanswered() << " without an answer, "
+            << stallingCallers.Connections() << " stalling connections, "
+            << jobs.size() << " jobs accepted and not cancelled: "
             << (hasPassed ? "passed" : "FAILED") << '\n';
   if (hasPassed) {
     site.MarkPassed();
