--- a/tests/history/shutdown_test.cpp
+++ b/tests/history/shutdown_test.cpp
@@ -2,6 +2,7 @@
 #include "links/http_request.h"
 #include "tests/harness/http_client.h"
 #include "tests/harness/process.h"
+#include "tests/harness/raw_connection.h"
 #include "tests/harness/request_callers.h"
 #include "tests/harness/request_fleet.h"
 #include "tests/harness/request_rules.h"
@@ -31,6 +32,7 @@
 {
   CPPUNIT_TEST_SUITE(ShutdownTest);
   CPPUNIT_TEST(PlannedStopUnderLoadCompletesRequestsInFlight);
+  CPPUNIT_TEST(PartialRequestDelaysStop);
   CPPUNIT_TEST(RequestDuringStartupIsServedOnceSettingsAreLoaded);
   CPPUNIT_TEST(ReloadDuringStartupDoesNotEndHost);
   CPPUNIT_TEST_SUITE_END();
@@ -68,6 +70,19 @@
     fleet.MarkPassed();
   }
 
+  /** A caller that stopped midway in a request kept the host alive for
+   * 75 s. */
+  void PartialRequestDelaysStop()
+  {
+    RequestFleet fleet(1, 1, kServiceUs);
+    RawConnection caller(fleet.Callers(0));
+    CPPUNIT_ASSERT(caller.Send("PUT /services/fretdesk/work HTTP/1.1\r\nHo"));
+    fleet.Daemon(0).Signal(SIGTERM);
+    const auto exit = fleet.Daemon(0).WaitForExit(kMaxStopTime);
+    CPPUNIT_ASSERT_EQUAL(0, exit.value_or(-1));
+    fleet.MarkPassed();
+  }
+
   void RequestDuringStartupIsServedOnceSettingsAreLoaded()
   {
     RequestFleet fleet(1, 1, kServiceUs);
