Test that a request at work does not outlast the stop of an entry host

A minion that takes a minute kept the host alive until the request's deadline. With a grace time of 4 s the caller now gets 504 and the process exits in time.

--- a/tests/harness/fleet_files.cpp
+++ b/tests/harness/fleet_files.cpp
@@ -99,6 +99,8 @@
   node["name"] = host.Name().Text();
   node["data_centre"] = host.DataCentre().Text();
   node["threads"] = aSettings.Threads();
+  node["grace_s"] =
+    std::chrono::duration<double>(aSettings.GraceTime()).count();
   node["log_level"] = aSettings.LogLevel();
   for (const Endpoint& endpoint : aSettings.Platform()) {
     node["platform"].push_back(endpoint.Text());
--- a/tests/harness/request_fleet.cpp
+++ b/tests/harness/request_fleet.cpp
@@ -57,7 +57,8 @@
 
 RequestFleet::RequestFleet(std::size_t aHosts,
                            std::size_t aMinions,
-                           int aServiceUs)
+                           int aServiceUs,
+                           Milliseconds aGraceTime)
   : platformAddress(FreeEndpoint())
   , control(FreeEndpoint())
 {
@@ -66,7 +67,7 @@
     std::vector<std::string>{ "--listen", this->platformAddress.Text() },
     this->folder.File("platform"));
   this->StartMinions(aMinions, aServiceUs);
-  this->StartHosts(aHosts);
+  this->StartHosts(aHosts, aGraceTime);
 }
 
 const Endpoint&
@@ -104,7 +105,7 @@
 }
 
 void
-RequestFleet::StartHosts(std::size_t aHosts)
+RequestFleet::StartHosts(std::size_t aHosts, Milliseconds aGraceTime)
 {
   Reason reason;
   std::vector<EntryHost> entryHosts;
@@ -125,6 +126,7 @@
   for (const EntryHost& host : entryHosts) {
     HostSettingsBuilder settings;
     settings.Host(host).Platform({ this->platformAddress });
+    settings.GraceTime(aGraceTime);
     const std::string path =
       this->folder.Write(host.Name().Text() + ".yaml",
                          HostSettingsYaml(settings.Build(reason).value()));
--- a/tests/harness/request_fleet.h
+++ b/tests/harness/request_fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/instant.h"
 #include "tests/harness/execution.h"
 #include "tests/harness/process.h"
 #include "tests/harness/relay.h"
@@ -17,8 +18,12 @@
 class RequestFleet
 {
 public:
-  /** aServiceUs is the time in microseconds that a minion takes per request. */
-  RequestFleet(std::size_t aHosts, std::size_t aMinions, int aServiceUs);
+  /** aServiceUs is the time in microseconds that a minion takes per request,
+   * aGraceTime that from SIGTERM until a daemon is killed. */
+  RequestFleet(std::size_t aHosts,
+               std::size_t aMinions,
+               int aServiceUs,
+               Milliseconds aGraceTime = Milliseconds(30'000));
 
   std::size_t Hosts() const { return this->hosts.size(); }
   /** Address of a daemon for callers. */
@@ -50,7 +55,7 @@
   };
 
   void StartMinions(std::size_t aMinions, int aServiceUs);
-  void StartHosts(std::size_t aHosts);
+  void StartHosts(std::size_t aHosts, Milliseconds aGraceTime);
 
   TestFolder folder;
   Endpoint platformAddress;
--- a/tests/history/shutdown_test.cpp
+++ b/tests/history/shutdown_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST_SUITE(ShutdownTest);
   CPPUNIT_TEST(PlannedStopUnderLoadCompletesRequestsInFlight);
   CPPUNIT_TEST(PartialRequestDelaysStop);
+  CPPUNIT_TEST(UnfinishedRequestDelaysStop);
   CPPUNIT_TEST(RequestDuringStartupIsServedOnceSettingsAreLoaded);
   CPPUNIT_TEST(ReloadDuringStartupDoesNotEndHost);
   CPPUNIT_TEST_SUITE_END();
@@ -83,6 +84,30 @@
     fleet.MarkPassed();
   }
 
+  /** A request at work on a minion kept the host alive until its deadline, and
+   * ended without an answer when the host was killed before. */
+  void UnfinishedRequestDelaysStop()
+  {
+    constexpr int kMinuteUs = 60'000'000;
+    constexpr Milliseconds kGraceTime{ 4000 };
+    RequestFleet fleet(1, 1, kMinuteUs, kGraceTime);
+    RawConnection caller(fleet.Callers(0));
+    CPPUNIT_ASSERT(
+      caller.Send("PUT /services/fretdesk/work HTTP/1.1\r\nHost: a\r\n"
+                  "Sardinecourse-Team: blue\r\n"
+                  "Sardinecourse-Deadline-Ms: 60000\r\n"
+                  "Content-Length: 1\r\n\r\na"));
+    std::this_thread::sleep_for(kPhaseDuration);
+    fleet.Daemon(0).Signal(SIGTERM);
+    const bool isAnswered = caller.ReceiveAnswer(kGraceTime);
+    CPPUNIT_ASSERT_MESSAGE(caller.Received(), isAnswered);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 0 },
+                         caller.Received().find("HTTP/1.1 504"));
+    const auto exit = fleet.Daemon(0).WaitForExit(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(0, exit.value_or(-1));
+    fleet.MarkPassed();
+  }
+
   void RequestDuringStartupIsServedOnceSettingsAreLoaded()
   {
     RequestFleet fleet(1, 1, kServiceUs);
