--- a/tests/soak/domain_soak.cpp
+++ b/tests/soak/domain_soak.cpp
@@ -7,6 +7,7 @@
 #include "tests/soak/planned_work.h"
 #include "tests/soak/soak_callers.h"
 #include "tests/soak/soak_faults.h"
+#include "tests/soak/stalling_callers.h"
 
 #include <algorithm>
 #include <iostream>
@@ -189,6 +190,7 @@
 {
   constexpr int kPlannedHosts = 6;
   constexpr int kOpenCallers = 16;
+  constexpr int kStallingCallers = 4;
   constexpr Milliseconds kStoreDelay{ 3 };
   SiteDeployment site(kPlannedHosts, kWorkers, aThreads);
   for (std::size_t host = 0; host < site.Hosts(); ++host) {
@@ -202,10 +204,18 @@
   }
   HostPauses pauses(site.Hosts());
   OpenCallers callers(site, pauses, kOpenCallers, aSeed);
+  // A suspended host can't end a stalled connection in time.
+  StallingCallers stallingCallers(
+    site, aHasPauses ? 0 : kStallingCallers, aSeed);
   PlannedWork work(site, pauses, aHasPauses, aSeed);
   work.Run(Clock::now() + aLength);
   callers.Stop();
+  stallingCallers.Stop();
   std::vector<std::string> violations = callers.Violations();
+  const std::vector<std::string> stallingViolations =
+    stallingCallers.Violations();
+  violations.insert(
+    violations.end(), stallingViolations.begin(), stallingViolations.end());
   violations.insert(
     violations.end(), work.Violations().begin(), work.Violations().end());
   std::vector<SoakJob> jobs;
@@ -220,6 +230,7 @@
   std::cerr << "planned work, seed " << aSeed << ": " << work.Stops()
             << " stops, " << work.Pauses() << " pauses, " << callers.Calls()
             << " calls, " << callers.Unanswered() << " without an answer, "
+            << stallingCallers.Connections() << " stalling connections, "
             << jobs.size() << " jobs accepted and not cancelled: "
             << (hasPassed ? "passed" : "FAILED") << '\n';
   if (hasPassed) {
