--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -74,6 +74,9 @@
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    kOpenMode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A child that inherits a socket of the test keeps it open after the test has
+  // closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t pid = 0;
   const int error = posix_spawn(
     &pid, aPath.c_str(), &actions, nullptr, arguments.data(), environ);
--- a/tests/harness/relay.cpp
+++ b/tests/harness/relay.cpp
@@ -1,9 +1,10 @@
 #include "tests/harness/relay.h"
 
+#include "tests/harness/relay_thread.h"
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -55,8 +56,11 @@
 
 struct Relay::State
 {
-  explicit State(const Endpoint& aListen)
-    : acceptor(context, ToTcp(aListen), true)
+  State(const Endpoint& aListen, std::shared_ptr<RelayThread> aThread)
+    : thread(std::move(aThread))
+    , context(thread->Context())
+    , listen(ToTcp(aListen))
+    , acceptor(context, listen, true)
   {
   }
 
@@ -72,7 +76,10 @@
   asio::awaitable<void> Accept();
   void Apply(RelayMode aMode);
 
-  asio::io_context context{ 1 };
+  /** Outlives the sockets, which use its context. */
+  std::shared_ptr<RelayThread> thread;
+  asio::io_context& context;
+  tcp::endpoint listen;
   tcp::acceptor acceptor;
   tcp::endpoint target;
   std::set<std::shared_ptr<RelayedConnection>> connections;
@@ -159,34 +166,47 @@
 Relay::State::Apply(RelayMode aMode)
 {
   this->mode = aMode;
+  if (aMode == RelayMode::kClosed) {
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+  } else if (!this->acceptor.is_open()) {
+    this->acceptor = tcp::acceptor(this->context, this->listen, true);
+    asio::co_spawn(this->context, this->Accept(), asio::detached);
+  }
+  const bool isReset = aMode == RelayMode::kCut || aMode == RelayMode::kClosed;
   for (const std::shared_ptr<RelayedConnection>& connection :
        this->connections) {
     connection->isBlackholed = connection->isBlackholed ||
                                aMode == RelayMode::kBlackholeOpen ||
                                aMode == RelayMode::kBlackhole;
-    if (aMode == RelayMode::kCut) {
+    if (isReset) {
       Reset(connection->client);
       Reset(connection->server);
     }
   }
-  if (aMode == RelayMode::kCut) {
+  if (isReset) {
     this->connections.clear();
   }
 }
 
 Relay::Relay(Endpoint aListen, const Endpoint& aTarget)
+  : Relay(std::move(aListen), aTarget, std::make_shared<RelayThread>())
+{
+}
+
+Relay::Relay(Endpoint aListen,
+             const Endpoint& aTarget,
+             std::shared_ptr<RelayThread> aThread)
   : listen(std::move(aListen))
-  , state(std::make_shared<State>(this->listen))
+  , state(std::make_shared<State>(this->listen, std::move(aThread)))
 {
   this->state->target = ToTcp(aTarget);
   asio::co_spawn(this->state->context, this->state->Accept(), asio::detached);
-  this->thread = std::thread([state = this->state] { state->context.run(); });
 }
 
 Relay::~Relay()
 {
-  this->state->context.stop();
-  this->thread.join();
+  this->state->thread->Stop();
 }
 
 void
--- a/tests/harness/relay.h
+++ b/tests/harness/relay.h
@@ -6,7 +6,6 @@
 #include <atomic>
 #include <cstdint>
 #include <memory>
-#include <thread>
 
 namespace sardinecourse::harness {
 
@@ -17,6 +16,9 @@
   kForward,
   /** Resets open and new connections. */
   kCut,
+  /** Resets open connections and refuses new ones, as a port on which nothing
+   * listens. */
+  kClosed,
   /** Accepts connections and reads, but forwards neither bytes nor closes;
    * connections open at the change stay in this state until they are reset. */
   kBlackhole,
@@ -25,12 +27,19 @@
   kBlackholeOpen
 };
 
-/** A TCP relay that runs in its own thread and injects faults into one link. */
+class RelayThread;
+
+/** A TCP relay that injects faults into one link. */
 class Relay
 {
 public:
-  /** Listens on aListen and forwards to aTarget. */
+  /** Listens on aListen and forwards to aTarget, in a thread of its own. */
   Relay(Endpoint aListen, const Endpoint& aTarget);
+  /** As above, in a thread of several relays; all of them stop with the first
+   * that is destroyed. */
+  Relay(Endpoint aListen,
+        const Endpoint& aTarget,
+        std::shared_ptr<RelayThread> aThread);
   ~Relay();
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
@@ -48,7 +57,6 @@
 
   Endpoint listen;
   std::shared_ptr<State> state;
-  std::thread thread;
 };
 
 }
--- a/tests/harness/site_deployment.cpp
+++ b/tests/harness/site_deployment.cpp
@@ -1,5 +1,10 @@
 #include "tests/harness/site_deployment.h"
 
+#include "codecs/base64.h"
+#include "codecs/domain_owner_json.h"
+#include "contracts/store_tables.h"
+#include "core/reason.h"
+#include "scheduling/store_rows.h"
 #include "tests/harness/http_client.h"
 #include "tests/harness/loopback.h"
 #include "tests/harness/wait.h"
@@ -44,6 +49,13 @@
 }
 
 SiteDeployment::SiteDeployment(int aHosts, int aWorkers)
+  : SiteDeployment(aHosts, aWorkers, "")
+{
+}
+
+SiteDeployment::SiteDeployment(int aHosts,
+                               int aWorkers,
+                               const std::string& aHostSettings)
   : site(FreeEndpoint())
 {
   this->platform.emplace(
@@ -66,8 +78,8 @@
       "name: " + name +
         "\ndata_centre: zone\ncallers: " + this->callers.back().Text() +
         "\nreadiness: " + this->readiness.back().Text() +
-        "\nmetrics: " + FreeEndpoint().Text() +
-        "\nstore: " + this->storeLinks.back()->Address().Text() + "\n"));
+        "\nmetrics: " + FreeEndpoint().Text() + "\nstore: " +
+        this->storeLinks.back()->Address().Text() + "\n" + aHostSettings));
     this->Start(host);
   }
 }
@@ -87,6 +99,36 @@
   return WaitForHttp(this->readiness[aHost], "/api/ready", kOk, kReadyTimeout);
 }
 
+bool
+SiteDeployment::IsReady(std::size_t aHost, Milliseconds aTimeout) const
+{
+  HttpClient client(this->readiness[aHost]);
+  const auto answer = client.Get("/api/ready", aTimeout);
+  return answer && answer->status == kOk;
+}
+
+std::optional<std::size_t>
+SiteDeployment::StoredHolder() const
+{
+  HttpClient client(this->site);
+  const auto answer =
+    client.Get("/api/rows-get?Table=" + kLeaseTable + "&part=" + kLeaseTable +
+                 "&From=" + kOwnerRow,
+               kCallTimeout);
+  const json page = answer ? json::parse(answer->body, nullptr, false) : json();
+  if (!page.is_object() || page.value("rows", json::array()).empty()) {
+    return std::nullopt;
+  }
+  const auto text = DecodeBase64(page["rows"][0].value("Value", ""));
+  Reason ignored; // Without a readable row there is no holder.
+  const auto owner = DecodeDomainOwner(text.value_or(""), ignored);
+  constexpr std::size_t kPrefixLength = 4; // "host"
+  if (!owner || owner->Host().Text().size() <= kPrefixLength) {
+    return std::nullopt;
+  }
+  return std::stoul(owner->Host().Text().substr(kPrefixLength));
+}
+
 std::optional<std::size_t>
 SiteDeployment::Holder() const
 {
--- a/tests/harness/site_deployment.h
+++ b/tests/harness/site_deployment.h
@@ -20,16 +20,28 @@
 {
 public:
   SiteDeployment(int aHosts, int aWorkers);
+  /** As above; aHostSettings are further lines of each host's settings. */
+  SiteDeployment(int aHosts, int aWorkers, const std::string& aHostSettings);
 
   std::size_t Hosts() const { return this->daemons.size(); }
   Process& Daemon(std::size_t aHost) { return *this->daemons.at(aHost); }
+  const std::string& LogPath(std::size_t aHost) const
+  {
+    return this->logs.at(aHost);
+  }
   /** Starts or restarts a daemon. */
   void Start(std::size_t aHost);
   bool WaitUntilReady(std::size_t aHost) const;
+  /** Whether the host reports itself ready within aTimeout. */
+  bool IsReady(std::size_t aHost, Milliseconds aTimeout) const;
   /** The relay between a daemon and the store. */
   Relay& StoreLink(std::size_t aHost) { return *this->storeLinks.at(aHost); }
   /** The host whose log has the committed takeover with the highest term. */
   std::optional<std::size_t> Holder() const;
+  /** The host that the store's row names as the holder. */
+  std::optional<std::size_t> StoredHolder() const;
+  /** Endpoint of the stand-in. */
+  const Endpoint& Site() const { return this->site; }
 
   /** Posts aBody to the stand-in's "/control/" + aCommand and returns the
    * decoded answer, null without one. */
--- a/tests/model/model_settings.h
+++ b/tests/model/model_settings.h
@@ -29,6 +29,12 @@
   /** How long jobs arrive, and how long they may still run after that. */
   Milliseconds traffic{ 1000 };
   Milliseconds finish{ 0 };
+  /** Max lease of the runs on a worker. */
+  Milliseconds workerLease{ 6000 };
+  /** How long a draining worker goes on beyond the time that is announced. */
+  Milliseconds linger{ 0 };
+  /** Share of a core that a host has. */
+  double coreShare = 1.0;
   /** Maximum time from a stop order to the end of the run. */
   Milliseconds stopTime{ 0 };
   /** Time within which a job must start if its team's guarantee covers it. */
--- /dev/null
+++ b/tests/soak/rehearsal_options.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/instant.h"
+
+#include <string>
+
+namespace sardinecourse::harness {
+
+/** Size and length of a rehearsal. */
+struct RehearsalOptions
+{
+  unsigned seed = 1;
+  int hosts = 8;
+  int workers = 48;
+  /** Threads of callers. */
+  int callers = 32;
+  /** Callers that open connections ahead and leave them idle or in the middle
+   * of a request. */
+  int idleCallers = 0;
+  Milliseconds traffic{ 34'000 };
+  /** Time from the end of the traffic to the questions at the end. */
+  Milliseconds finish{ 14'000 };
+  /** Whether all hosts are killed at the end of the traffic; when empty, the
+   * seed decides. */
+  std::string closing;
+  /** Without unplanned disruptions. */
+  bool isPlannedOnly = false;
+
+  bool operator==(const RehearsalOptions&) const = default;
+};
+
+}
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -21,6 +21,11 @@
 /** Longer than any client's timeout, so that the call hangs for the client. */
 constexpr Milliseconds kHangTime{ 20'000 };
 constexpr int kWorkersPerRack = 3;
+/** Time after which the entry of a silent worker is removed: three of its
+ * heartbeats. */
+constexpr Milliseconds kEntryTime{ 4500 };
+/** Time between two comparisons of the jobs with what runs. */
+constexpr int kTicksPerUpdate = 4;
 
 HttpAnswer
 Answer(int aStatus, const json& aBody)
@@ -60,16 +65,19 @@
 void
 SiteService::Register(const SiteWorker& aWorker)
 {
-  const json entry = { { "Service", "s1" },
-                       { "Addr", aWorker.address },
-                       { "Zone", "zone" },
-                       { "State", aWorker.isLeaving ? "draining" : "ready" },
-                       { "Capacity",
-                         { { "Cpu", aWorker.milliCores },
-                           { "MemMb", aWorker.memoryMb },
-                           { "Gpu", aWorker.accelerators } } },
-                       { "Labels", { "a", aWorker.rack } },
-                       { "born", aWorker.incarnation } };
+  json entry = { { "Service", "s1" },
+                 { "Addr", aWorker.address },
+                 { "Zone", "zone" },
+                 { "State", aWorker.isLeaving ? "draining" : "ready" },
+                 { "Capacity",
+                   { { "Cpu", aWorker.milliCores },
+                     { "MemMb", aWorker.memoryMb },
+                     { "Gpu", aWorker.accelerators } } },
+                 { "Labels", { "a", aWorker.rack } },
+                 { "born", aWorker.incarnation } };
+  if (aWorker.isLeaving && aWorker.remainingMs > 0) {
+    entry["RemainingMs"] = aWorker.remainingMs;
+  }
   this->store.Put("servers", aWorker.name, entry.dump());
 }
 
@@ -85,11 +93,14 @@
 SiteService::Tick()
 {
   const Instant started = Clock::now();
-  while (true) {
+  for (int tick = 1;; ++tick) {
     co_await this->Pause(kTick);
     const auto now =
       std::chrono::duration_cast<Milliseconds>(Clock::now() - started);
     this->simulation.Advance(now.count() - this->simulation.nowMs);
+    if (tick % kTicksPerUpdate == 0) {
+      this->idleJobs.Update(this->simulation);
+    }
   }
 }
 
@@ -160,9 +171,8 @@
       if (!this->store.HasHistory(after)) {
         co_return Answer(410, json::object());
       }
-      const json changes = this->store.Changes(table, after);
-      if (!changes["rows"].empty() || Clock::now() >= deadline) {
-        co_return Answer(200, changes);
+      if (this->store.HasChanges(table, after) || Clock::now() >= deadline) {
+        co_return Answer(200, this->store.Changes(table, after));
       }
     }
     co_await this->Pause(Milliseconds(5));
@@ -185,15 +195,16 @@
     Clock::now() + Milliseconds(body.value("WaitMs", std::int64_t{ 0 }));
   const std::int64_t incarnation = found->second.incarnation;
   HttpAnswer answer = this->ExecuteOrder(aRequest, body);
+  bool hasWaited = false;
   while (answer.status == 200 && aRequest.target == "/api/hold" &&
          this->HasIncarnation(name, incarnation) &&
          this->simulation.workers.at(name).Ends().empty() &&
          Clock::now() < deadline) {
     co_await this->Pause(Milliseconds(20));
-    if (!this->HasIncarnation(name, incarnation)) {
-      break;
-    }
-    answer = this->ExecuteOrder(aRequest, body);
+    hasWaited = true;
+  }
+  if (hasWaited && this->HasIncarnation(name, incarnation)) {
+    answer = this->WorkerReport(this->simulation.workers.at(name));
   }
   if (!this->HasIncarnation(name, incarnation)) {
     // A crashed process sends no answer. A handler cannot close the connection
@@ -243,21 +254,135 @@
     answer["Reason"] = outcome;
     return Answer(409, answer);
   }
-  if (aRequest.target == "/api/hold") {
-    answer["born"] = worker.incarnation;
-    answer["Running"] = json::array();
-    answer["Ended"] = json::array();
-    for (const auto& [name, current] : worker.Runs()) {
-      answer["Running"].push_back({ name, current.run, "", 0 });
-    }
-    for (const SiteEnd& end : worker.ListedEnds()) {
-      answer["Ended"].push_back(
-        { end.number, end.task, end.run, end.outcome, "" });
-    }
+  return aRequest.target == "/api/hold" ? this->WorkerReport(worker)
+                                        : Answer(200, answer);
+}
+
+HttpAnswer
+SiteService::WorkerReport(const SiteWorker& aWorker) const
+{
+  json answer = { { "ClockMs", this->simulation.nowMs },
+                  { "born", aWorker.incarnation },
+                  { "Running", json::array() },
+                  { "Ended", json::array() } };
+  for (const auto& [name, current] : aWorker.Runs()) {
+    answer["Running"].push_back({ name, current.run, "", 0 });
+  }
+  for (const SiteEnd& end : aWorker.ListedEnds()) {
+    answer["Ended"].push_back(
+      { end.number, end.task, end.run, end.outcome, "" });
   }
   return Answer(200, answer);
 }
 
+void
+SiteService::AddWorkers(const json& aBody)
+{
+  const json speeds = aBody.value("speeds", json::array({ 1.0 }));
+  const int perRack = aBody.value("per_rack", kWorkersPerRack);
+  for (const json& address : aBody.at("addresses")) {
+    const int index = this->addedWorkers++;
+    SiteWorker worker;
+    worker.name = "w-" + std::to_string(index);
+    worker.rack = "rack-" + std::to_string(index / perRack);
+    worker.address = address;
+    worker.milliCores = aBody.value("milli_cores", worker.milliCores);
+    worker.memoryMb = aBody.value("memory_mb", worker.memoryMb);
+    worker.accelerators = aBody.value("accelerators", worker.accelerators);
+    worker.maxLeaseMs = aBody.value("lease_ms", worker.maxLeaseMs);
+    worker.stopDelayMs = aBody.value("stop_ms", worker.stopDelayMs);
+    worker.runTimeFactor =
+      speeds.at(static_cast<std::size_t>(index) % speeds.size());
+    worker.incarnation = ++this->lastIncarnation;
+    this->Register(worker);
+    this->simulation.workers[worker.name] = std::move(worker);
+  }
+}
+
+void
+SiteService::AddJob(const json& aBody)
+{
+  const std::string job = aBody.value("job", "");
+  std::size_t number = 0;
+  for (const json& item : aBody.at("steps")) {
+    SiteStep step;
+    step.count = item.value("count", 1);
+    step.isGang = item.value("gang", false);
+    step.milliCores = item.value("milli_cores", std::int64_t{ 0 });
+    step.memoryMb = item.value("memory_mb", std::int64_t{ 0 });
+    step.accelerators = item.value("accelerators", std::int64_t{ 0 });
+    step.taskWorkMs = item.value("work_ms", std::vector<std::int64_t>());
+    step.maxAttempts = aBody.value("attempts", 3);
+    step.fails = aBody.value("fails", false);
+    step.failureShare = aBody.value("failure_share", 0.0);
+    step.prefersOneRack = item.value("one_rack", false);
+    step.dataRack = item.value("data_rack", "");
+    this->simulation.steps[job + ".0." + std::to_string(number++)] =
+      std::move(step);
+  }
+}
+
+json
+SiteService::IdleReport() const
+{
+  json idle = json::array();
+  for (const IdleJob& job : this->idleJobs.Current()) {
+    idle.push_back({ { "job", job.job },
+                     { "idle_ms", this->simulation.nowMs - job.sinceMs },
+                     { "last_worker", job.lastWorker },
+                     { "last_seen_ms", job.lastSeenMs },
+                     { "needed", job.needed },
+                     { "fitting", job.fitting } });
+  }
+  return { { "now_ms", this->simulation.nowMs },
+           { "used_share", this->idleJobs.UsedShare() },
+           { "idle", idle },
+           { "longest_ms", this->idleJobs.LongestMs() } };
+}
+
+asio::awaitable<void>
+SiteService::ExpireEntry(std::string aWorker, std::int64_t aIncarnation)
+{
+  co_await this->Pause(kEntryTime);
+  const auto ended = this->endedWorkers.find(aWorker);
+  if (ended != this->endedWorkers.end() &&
+      ended->second.incarnation == aIncarnation) {
+    this->store.Remove("servers", aWorker);
+  }
+}
+
+std::optional<HttpAnswer>
+SiteService::HandleJobControl(const std::string& aCommand, const json& aBody)
+{
+  const std::string job = aBody.is_object() ? aBody.value("job", "") : "";
+  if (aCommand == "job") {
+    this->AddJob(aBody);
+  } else if (aCommand == "follow") {
+    this->idleJobs.Add(job, aBody.value("steps", 1));
+  } else if (aCommand == "unfollow") {
+    this->idleJobs.Remove(job);
+  } else if (aCommand == "idle") {
+    return Answer(200, this->IdleReport());
+  } else if (aCommand == "judge") {
+    bool isDone = true;
+    bool isFailed = false;
+    for (auto step = this->simulation.steps.lower_bound(job + ".");
+         step != this->simulation.steps.end() &&
+         step->first.starts_with(job + ".");
+         ++step) {
+      for (const std::string& unit :
+           SiteSimulation::UnitsOf(step->first, step->second)) {
+        isDone = isDone && this->simulation.HasDone(unit);
+        isFailed = isFailed || this->simulation.HasFailed(unit, step->second);
+      }
+    }
+    return Answer(200, { { "done", isDone }, { "failed", isFailed } });
+  } else {
+    return std::nullopt;
+  }
+  return Answer(200, json::object());
+}
+
 /** Replaces a worker by a new incarnation under another name. */
 void
 SiteService::Replace(const std::string& aWorker)
@@ -270,10 +395,54 @@
   this->simulation.workers[next.name] = std::move(next);
 }
 
+void
+SiteService::HandleWorkerControl(const std::string& aCommand, const json& aBody)
+{
+  const std::string name = aBody.is_object() ? aBody.value("worker", "") : "";
+  if (aCommand == "restart" && this->endedWorkers.contains(name)) {
+    this->simulation.workers[name] = this->endedWorkers.at(name);
+    this->endedWorkers.erase(name);
+  }
+  const auto found = this->simulation.workers.find(name);
+  if (found == this->simulation.workers.end()) {
+    return;
+  }
+  SiteWorker& worker = found->second;
+  if (aCommand == "restart") {
+    worker.Restart(++this->lastIncarnation);
+    worker.isReachable = true;
+    this->Register(worker);
+  } else if (aCommand == "replace") {
+    this->Replace(name);
+  } else if (aCommand == "leave") {
+    worker.isLeaving = true;
+    worker.remainingMs = aBody.value("remaining_ms", std::int64_t{ 0 });
+    this->Register(worker);
+  } else if (aCommand == "reach") {
+    worker.isReachable = aBody.value("reachable", true);
+  } else if (aCommand == "exit") {
+    this->simulation.End(name);
+    const std::int64_t incarnation = worker.incarnation;
+    this->endedWorkers[name] = worker;
+    this->simulation.workers.erase(name);
+    if (aBody.value("planned", true)) {
+      this->store.Remove("servers", name);
+    } else {
+      asio::co_spawn(
+        *this->context, this->ExpireEntry(name, incarnation), asio::detached);
+    }
+  }
+}
+
 HttpAnswer
 SiteService::HandleControl(const HttpRequest& aRequest)
 {
   const json body = json::parse(aRequest.body, nullptr, false);
+  const std::string command =
+    aRequest.target.substr(std::string("/control/").size());
+  if (auto answer = this->HandleJobControl(command, body)) {
+    return *answer;
+  }
   if (aRequest.target == "/control/config") {
     this->store.Put("op", "config", aRequest.body);
   } else if (aRequest.target == "/control/faults") {
@@ -289,16 +458,10 @@
     this->simulation.steps[body.value("name", "")] = step;
   } else if (aRequest.target == "/control/forbid") {
     this->simulation.Forbid(body.value("job", ""));
-  } else if (aRequest.target == "/control/restart") {
-    SiteWorker& worker = this->simulation.workers.at(body.value("worker", ""));
-    worker.Restart(++this->lastIncarnation);
-    this->Register(worker);
-  } else if (aRequest.target == "/control/replace") {
-    this->Replace(body.value("worker", ""));
-  } else if (aRequest.target == "/control/leave") {
-    SiteWorker& worker = this->simulation.workers.at(body.value("worker", ""));
-    worker.isLeaving = true;
-    this->Register(worker);
+  } else if (aRequest.target == "/control/workers") {
+    this->AddWorkers(body);
+  } else {
+    this->HandleWorkerControl(command, body);
   }
   json running = json::array();
   for (auto& [name, worker] : this->simulation.workers) {
@@ -313,6 +476,7 @@
   return Answer(200,
                 { { "workers", names },
                   { "violations", this->simulation.Violations() },
+                  { "now_ms", this->simulation.nowMs },
                   { "starts", this->simulation.Starts() },
                   { "running", running } });
 }
--- a/tests/stand_ins/site_simulation.cpp
+++ b/tests/stand_ins/site_simulation.cpp
@@ -1,6 +1,7 @@
 #include "tests/stand_ins/site_simulation.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace sardinecourse {
@@ -18,6 +19,17 @@
   return aStep.isGang ? StepNameOf(aTask) : aTask;
 }
 
+/** Whether a run fails, drawn from its unit and number, so that a seed repeats
+ * it. */
+bool
+DrawsFailure(const std::string& aUnit, std::int64_t aRun, double aShare)
+{
+  constexpr std::size_t kParts = 10'000;
+  const std::size_t drawn =
+    std::hash<std::string>{}(aUnit + "#" + std::to_string(aRun)) % kParts;
+  return static_cast<double>(drawn) < aShare * static_cast<double>(kParts);
+}
+
 }
 
 std::string
@@ -140,6 +152,76 @@
   }
 }
 
+void
+SiteSimulation::EndRun(SiteWorker& aWorker,
+                       const std::string& aTask,
+                       const std::string& aUnit,
+                       const std::string& aOutcome)
+{
+  aWorker.End(aTask, aOutcome);
+  if (aOutcome == "done") {
+    this->endedDone.insert(aUnit);
+  }
+  if (aOutcome == "failed") {
+    ++this->endedFailures[aUnit];
+  }
+}
+
+void
+SiteSimulation::End(const std::string& aWorker)
+{
+  SiteWorker& worker = this->workers.at(aWorker);
+  worker.Restart(worker.incarnation);
+}
+
+bool
+SiteSimulation::HasFailed(const std::string& aUnit, const SiteStep& aStep) const
+{
+  const auto found = this->endedFailures.find(aUnit);
+  return found != this->endedFailures.end() &&
+         found->second >= aStep.maxAttempts;
+}
+
+std::vector<std::string>
+SiteSimulation::UnitsOf(const std::string& aStepName, const SiteStep& aStep)
+{
+  if (aStep.isGang) {
+    return { aStepName };
+  }
+  std::vector<std::string> units;
+  for (std::int32_t index = 0; index < aStep.count; ++index) {
+    units.push_back(aStepName + "." + std::to_string(index));
+  }
+  return units;
+}
+
+std::int64_t
+SiteSimulation::WorkMsOf(
+  const SiteStep& aStep,
+  const std::vector<std::pair<SiteWorker*, std::string>>& aLocations) const
+{
+  std::set<std::string> racks;
+  double longestMs = 0.0;
+  for (const auto& [worker, task] : aLocations) {
+    racks.insert(worker->rack);
+    std::int64_t workMs = aStep.workMs;
+    if (!aStep.taskWorkMs.empty()) {
+      const auto index =
+        static_cast<std::size_t>(std::stoul(task.substr(task.rfind('.') + 1)));
+      workMs = aStep.taskWorkMs.at(index % aStep.taskWorkMs.size());
+    }
+    longestMs =
+      std::max(longestMs, static_cast<double>(workMs) * worker->runTimeFactor);
+  }
+  const bool isAwayFromData =
+    !aStep.dataRack.empty() &&
+    (racks.size() > 1 || !racks.contains(aStep.dataRack));
+  const bool isRemote =
+    isAwayFromData || (aStep.prefersOneRack && racks.size() > 1);
+  return static_cast<std::int64_t>(longestMs *
+                                   (isRemote ? kRemoteSlowdown : 1.0));
+}
+
 /** Ends the runs that are due. The members of a gang end together: as "alone"
  * when the gang is still incomplete after kMaxIncompleteMs, and as "broken"
  * when a member of a complete gang is lost. */
@@ -164,6 +246,7 @@
     const SiteStep& step = this->StepOf(members.locations.front().second);
     const std::size_t memberCount = step.isGang ? step.count : 1;
     const bool isComplete = members.runs.size() == memberCount;
+    const std::int64_t workMs = this->WorkMsOf(step, members.locations);
     bool wasComplete = false;
     std::int64_t firstStartMs = this->nowMs;
     std::int64_t completeSinceMs = 0;
@@ -180,13 +263,18 @@
       outcome = "broken";
     } else if (!isComplete && this->nowMs >= firstStartMs + kMaxIncompleteMs) {
       outcome = "alone";
-    } else if (isComplete && this->nowMs >= completeSinceMs + step.workMs) {
-      outcome = step.fails ? "failed" : "done";
+    } else if (isComplete && this->nowMs >= completeSinceMs + workMs) {
+      const bool isFailure =
+        step.fails || DrawsFailure(unit.first, unit.second, step.failureShare);
+      outcome = isFailure ? "failed" : "done";
     }
     bool isFirst = true;
     for (const auto& [worker, task] : members.locations) {
       if (!outcome.empty()) {
-        worker->End(task, outcome == "failed" && !isFirst ? "broken" : outcome);
+        this->EndRun(*worker,
+                     task,
+                     unit.first,
+                     outcome == "failed" && !isFirst ? "broken" : outcome);
         isFirst = false;
       }
     }
--- a/tests/stand_ins/site_simulation.h
+++ b/tests/stand_ins/site_simulation.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sardinecourse {
@@ -23,6 +24,15 @@
   std::int32_t maxAttempts = 3;
   /** Every run of the step ends as failed. */
   bool fails = false;
+  /** Share of the other runs that end as failed. */
+  double failureShare = 0.0;
+  /** Run time of each task, in milliseconds; when empty, each takes workMs. */
+  std::vector<std::int64_t> taskWorkMs;
+  /** Tasks on more than one rack are slowed down by kRemoteSlowdown. */
+  bool prefersOneRack = false;
+  /** Tasks on other racks are slowed down by kRemoteSlowdown; empty for none.
+   */
+  std::string dataRack;
 };
 
 /**
@@ -38,6 +48,8 @@
   /** Time from the first member's start in which a gang must be complete. */
   static constexpr std::int64_t kMaxIncompleteMs = 3000;
 
+  static constexpr double kRemoteSlowdown = 3.0;
+
   /** Simulated time, which all workers' clocks show. */
   std::int64_t nowMs = 0;
   std::map<std::string, SiteWorker> workers;
@@ -57,6 +69,27 @@
   /** Advances the simulated time and ends what is due. */
   void Advance(std::int64_t aMs);
 
+  /** The worker's process ends: everything that it runs and lists is gone. */
+  void End(const std::string& aWorker);
+
+  /** Whether a run of the unit (a gang's step or a task) has ended done. */
+  bool HasDone(const std::string& aUnit) const
+  {
+    return this->endedDone.contains(aUnit);
+  }
+  /** Whether an end as done was acknowledged. */
+  bool HasAcknowledgedDone(const std::string& aUnit) const
+  {
+    return this->acknowledgedDone.contains(aUnit);
+  }
+  /** Whether as many runs of the unit as its attempts have ended failed. */
+  bool HasFailed(const std::string& aUnit, const SiteStep& aStep) const;
+  /** The task's step; the default step when it is not known. */
+  const SiteStep& StepOf(const std::string& aTask) const;
+  /** Names of a step's units. */
+  static std::vector<std::string> UnitsOf(const std::string& aStepName,
+                                          const SiteStep& aStep);
+
   std::int64_t Starts() const { return this->starts; }
   const std::vector<std::string>& Violations() const
   {
@@ -71,13 +104,18 @@
                     const std::string& aTask,
                     const std::string& aWorker);
   void AdvanceGangs();
-  void EndStep(const std::string& aStep,
-               std::int64_t aRun,
-               const char* aOutcome);
-  const SiteStep& StepOf(const std::string& aTask) const;
-
+  /** Longest run time of the tasks of one unit where they run. */
+  std::int64_t WorkMsOf(
+    const SiteStep& aStep,
+    const std::vector<std::pair<SiteWorker*, std::string>>& aLocations) const;
+  void EndRun(SiteWorker& aWorker,
+              const std::string& aTask,
+              const std::string& aUnit,
+              const std::string& aOutcome);
   std::set<std::string> acknowledgedDone;
   std::map<std::string, std::int32_t> acknowledgedFailures;
+  std::set<std::string> endedDone;
+  std::map<std::string, std::int32_t> endedFailures;
   std::set<std::string> forbiddenJobs;
   std::vector<std::string> violations;
   std::int64_t starts = 0;
--- a/tests/stand_ins/site_store.cpp
+++ b/tests/stand_ins/site_store.cpp
@@ -90,11 +90,10 @@
   }
   ++this->version;
   for (const json& row : aTransaction.value("SetKeys", json::array())) {
-    this->rows[NameOf(row)] =
-      Row{ row.value("Value", ""), this->version, false };
+    this->Write(NameOf(row), row.value("Value", ""), false);
   }
   for (const json& row : aTransaction.value("Remove", json::array())) {
-    this->rows[NameOf(row)] = Row{ "", this->version, true };
+    this->Write(NameOf(row), "", true);
   }
   aAnswer = { { "Ver", this->version } };
   return true;
@@ -132,34 +131,51 @@
 json
 SiteStore::Changes(const std::string& aTable, std::int64_t aAfter) const
 {
-  std::map<std::int64_t, json> changed;
-  for (const auto& [name, row] : this->rows) {
-    if (std::get<0>(name) == aTable && row.version > aAfter) {
-      changed[row.version].push_back(RowObject(name, row));
-    }
-  }
   json rows = json::array();
-  for (const auto& [version, rowsOfVersion] : changed) {
-    rows.insert(rows.end(), rowsOfVersion.begin(), rowsOfVersion.end());
+  const auto table = this->changes.find(aTable);
+  if (table != this->changes.end()) {
+    for (auto change = table->second.upper_bound(aAfter);
+         change != table->second.end();
+         ++change) {
+      for (const Name& name : change->second) {
+        const Row& row = this->rows.at(name);
+        if (row.version == change->first) {
+          rows.push_back(RowObject(name, row));
+        }
+      }
+    }
   }
   return { { "rows", rows }, { "Ver", this->version } };
 }
 
+bool
+SiteStore::HasChanges(const std::string& aTable, std::int64_t aAfter) const
+{
+  const auto table = this->changes.find(aTable);
+  return table != this->changes.end() && table->second.rbegin()->first > aAfter;
+}
+
+void
+SiteStore::Write(const Name& aName, const std::string& aValue, bool aIsRemoved)
+{
+  this->rows[aName] = Row{ aValue, this->version, aIsRemoved };
+  this->changes[std::get<0>(aName)][this->version].push_back(aName);
+}
+
 void
 SiteStore::Put(const std::string& aTable,
                const std::string& aKey,
                const std::string& aValue)
 {
   ++this->version;
-  this->rows[{ aTable, "", aKey }] =
-    Row{ EncodeBase64(aValue), this->version, false };
+  this->Write({ aTable, "", aKey }, EncodeBase64(aValue), false);
 }
 
 void
 SiteStore::Remove(const std::string& aTable, const std::string& aKey)
 {
   ++this->version;
-  this->rows[{ aTable, "", aKey }] = Row{ "", this->version, true };
+  this->Write({ aTable, "", aKey }, "", true);
 }
 
 }
--- a/tests/stand_ins/site_store.h
+++ b/tests/stand_ins/site_store.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace sardinecourse {
 
@@ -38,6 +39,8 @@
   /** Drops the history: changes since an earlier version cannot be listed any
    * more. */
   void Compact() { this->firstListedVersion = this->version; }
+  /** Whether any row of the table changed after a version. */
+  bool HasChanges(const std::string& aTable, std::int64_t aAfter) const;
   bool HasHistory(std::int64_t aAfter) const
   {
     return aAfter >= this->firstListedVersion;
@@ -55,8 +58,13 @@
   static Name NameOf(const nlohmann::json& aRow);
   static nlohmann::json RowObject(const Name& aName, const Row& aRow);
   std::int64_t VersionOf(const Name& aName) const;
+  /** Stores a row of the current version. */
+  void Write(const Name& aName, const std::string& aValue, bool aIsRemoved);
 
   std::map<Name, Row> rows;
+  /** Rows that changed, by table and version; an entry whose row has a later
+   * version by now is obsolete. */
+  std::map<std::string, std::map<std::int64_t, std::vector<Name>>> changes;
   std::int64_t version = 1;
   std::int64_t firstListedVersion = 0;
 };
--- a/tests/stand_ins/site_worker.cpp
+++ b/tests/stand_ins/site_worker.cpp
@@ -18,7 +18,7 @@
 SiteWorker::Extend(std::int64_t aUntilMs, std::int64_t aNowMs)
 {
   this->leaseUntilMs =
-    std::max(this->leaseUntilMs, std::min(aUntilMs, aNowMs + kMaxLeaseMs));
+    std::max(this->leaseUntilMs, std::min(aUntilMs, aNowMs + this->maxLeaseMs));
 }
 
 SiteAnswer
@@ -62,7 +62,7 @@
   const auto current = this->runs.find(aTask);
   if (current != this->runs.end() && current->second.run <= aRun) {
     current->second.stopAtMs = current->second.stopAtMs == 0
-                                 ? aNowMs + kStopDelayMs
+                                 ? aNowMs + this->stopDelayMs
                                  : current->second.stopAtMs;
   }
   std::int64_t& highestPastRun = this->highestPastRuns[aTask];
@@ -130,6 +130,8 @@
 SiteWorker::Restart(std::int64_t aIncarnation)
 {
   this->incarnation = aIncarnation;
+  this->isLeaving = false;
+  this->remainingMs = 0;
   this->token = 0;
   this->leaseUntilMs = 0;
   this->lastEndNumber = 0;
--- a/tests/stand_ins/site_worker.h
+++ b/tests/stand_ins/site_worker.h
@@ -40,11 +40,11 @@
 class SiteWorker
 {
 public:
-  /** Longer leases are cut to this. */
+  /** Longer leases are cut to this by default. */
   static constexpr std::int64_t kMaxLeaseMs = 6000;
   /** Max ends in one report. */
   static constexpr std::size_t kMaxListedEnds = 500;
-  /** Time from the order to stop until the run ends. */
+  /** Default time from the order to stop until the run ends. */
   static constexpr std::int64_t kStopDelayMs = 200;
 
   std::string name;
@@ -53,7 +53,15 @@
   std::int64_t milliCores = 64'000;
   std::int64_t memoryMb = 131'072;
   std::int64_t accelerators = 8;
+  std::int64_t maxLeaseMs = kMaxLeaseMs;
+  std::int64_t stopDelayMs = kStopDelayMs;
+  /** Multiplies the run times here. */
+  double runTimeFactor = 1.0;
   bool isLeaving = false;
+  /** Minimum time that a leaving worker still serves; 0 when not given. */
+  std::int64_t remainingMs = 0;
+  /** False while no host can reach the worker; its runs go on. */
+  bool isReachable = true;
   /** An unhealthy worker refuses all starts. */
   bool isUnhealthy = false;
   std::int64_t refusedStarts = 0;
@@ -86,6 +94,7 @@
   void Restart(std::int64_t aIncarnation);
 
   std::map<std::string, SiteRun>& Runs() { return this->runs; }
+  const std::map<std::string, SiteRun>& Runs() const { return this->runs; }
   const std::vector<SiteEnd>& Ends() const { return this->ends; }
   /** The ends in one report: the oldest that are not acknowledged. */
   std::vector<SiteEnd> ListedEnds() const;
