--- a/tests/soak/domain_rehearsal.cpp
+++ b/tests/soak/domain_rehearsal.cpp
@@ -7,6 +7,7 @@
 #include "tests/model/model_settings.h"
 #include "tests/model/model_settings_yaml.h"
 #include "tests/soak/disruption_log.h"
+#include "tests/soak/idle_callers.h"
 #include "tests/soak/load_balancer.h"
 #include "tests/soak/rehearsal_callers.h"
 #include "tests/soak/rehearsal_day.h"
@@ -115,10 +116,12 @@
                            aOptions.callers,
                            aOptions.seed,
                            start);
+  IdleCallers idleCallers(site, balancer, aOptions.idleCallers, aOptions.seed);
   day.Run(start + aOptions.traffic + aOptions.finish);
   JudgeIdle(site, violations);
   callers.AskAtEnd();
   JudgeStarts(site, violations);
+  idleCallers.Stop();
   balancer.Stop();
   const bool hasPassed = violations.IsEmpty();
   std::cerr << "rehearsal, seed " << aOptions.seed << ", lease "
@@ -163,6 +166,13 @@
     { "hosts", 0, POPT_ARG_INT, &chosen.hosts, 0, "Number of hosts", "N" },
     { "workers", 0, POPT_ARG_INT, &chosen.workers, 0, "Workers", "N" },
     { "callers", 0, POPT_ARG_INT, &chosen.callers, 0, "Callers", "N" },
+    { "idle-callers",
+      0,
+      POPT_ARG_INT,
+      &chosen.idleCallers,
+      0,
+      "Callers that leave connections idle or in the middle of a request",
+      "N" },
     { "lease-ms", 0, POPT_ARG_INT, &leaseMs, 0, "Longest lease", "MS" },
     { "stop-ms", 0, POPT_ARG_INT, &stopMs, 0, "Time to stop a run", "MS" },
     { "linger-ms",
