--- a/tests/model/model_settings_yaml.cpp
+++ b/tests/model/model_settings_yaml.cpp
@@ -146,8 +146,8 @@
   aSettings.teams =
     static_cast<std::int32_t>(aReader.Integer("teams", 1, 1, kMaxInteger));
   aSettings.guaranteed = ReadShare(aReader, "guaranteed");
-  aSettings.workerLease = ReadMilliseconds(
-    aReader, "worker_lease_ms", aSettings.workerLease.count());
+  aSettings.workerLease =
+    ReadMilliseconds(aReader, "worker_lease_ms", aSettings.workerLease.count());
   aSettings.linger = ReadMilliseconds(aReader, "linger_ms", 0);
   aSettings.coreShare =
     ReadNonNegative(aReader, "core_share", aSettings.coreShare);
