--- a/tests/soak/domain_rehearsal.cpp
+++ b/tests/soak/domain_rehearsal.cpp
@@ -153,6 +153,7 @@
   harness::RehearsalOptions chosen;
   const char* figures = nullptr;
   const char* closing = nullptr;
+  const char* late = nullptr;
   int seed = 1;
   int leaseMs = -1;
   int stopMs = -1;
@@ -197,6 +198,13 @@
       0,
       "Fault at the end of the traffic; drawn from the seed by default",
       "kill|none" },
+    { "late",
+      0,
+      POPT_ARG_STRING,
+      &late,
+      0,
+      "What happens at the end of the traffic; drawn from the seed by default",
+      "drain|evict|roll|evict_kill|crash|cut|kill" },
     { "planned",
       0,
       POPT_ARG_NONE,
@@ -236,6 +244,7 @@
   }
   chosen.seed = static_cast<unsigned>(seed);
   chosen.closing = closing == nullptr ? "" : closing;
+  chosen.late = late == nullptr ? "" : late;
   chosen.isPlannedOnly = isPlannedOnly != 0;
   chosen.traffic = scaled.traffic;
   chosen.finish = scaled.finish;
--- a/tests/soak/rehearsal_day.cpp
+++ b/tests/soak/rehearsal_day.cpp
@@ -10,6 +10,7 @@
 #include "tests/soak/rehearsal_workers.h"
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <utility>
@@ -28,6 +29,12 @@
 constexpr Milliseconds kStoreDelay{ 3 };
 constexpr Milliseconds kSlowStoreDelay{ 180 };
 
+/** What may happen at the end of the traffic; planned work first. */
+constexpr std::array<const char*, 7> kLateKinds{ "drain",      "evict", "roll",
+                                                 "evict_kill", "crash", "cut",
+                                                 "kill" };
+constexpr std::size_t kPlannedLateKinds = 3;
+
 std::vector<std::size_t>
 Shuffled(std::size_t aCount, std::mt19937& aRandom)
 {
@@ -190,32 +197,31 @@
   const int series = 1 + static_cast<int>(this->random() % 2);
   for (int drawn = 0; drawn < series; ++drawn) {
     const Milliseconds at = this->Draw(lengthMs * 8 / 10, lengthMs);
-    const auto kinds = this->options.isPlannedOnly ? 3U : 7U;
-    switch (this->random() % kinds) {
-      case 0:
-        this->DrainWorkers(at, 0.15);
-        break;
-      case 1:
-        this->EvictWorkers(at, 0.15);
-        break;
-      case 2:
-        this->RollHosts(at);
-        break;
-      case 3:
-        this->EvictWorkers(at, 0.15);
-        this->KillHolder(
-          std::min(at + Milliseconds(3000), this->options.traffic));
-        break;
-      case 4:
-        this->CrashWorkers(at, 0.1, false);
-        break;
-      case 5:
-        this->CutWorkers(at, 0.17);
-        break;
-      default:
-        this->KillHolder(at);
-        break;
-    }
+    const std::size_t kinds =
+      this->options.isPlannedOnly ? kPlannedLateKinds : kLateKinds.size();
+    const std::string kind = kLateKinds[this->random() % kinds];
+    this->AddLate(this->options.late.empty() ? kind : this->options.late, at);
+  }
+}
+
+void
+RehearsalDay::AddLate(const std::string& aKind, Milliseconds aAt)
+{
+  if (aKind == "drain") {
+    this->DrainWorkers(aAt, 0.15);
+  } else if (aKind == "evict") {
+    this->EvictWorkers(aAt, 0.15);
+  } else if (aKind == "roll") {
+    this->RollHosts(aAt);
+  } else if (aKind == "evict_kill") {
+    this->EvictWorkers(aAt, 0.15);
+    this->KillHolder(std::min(aAt + Milliseconds(3000), this->options.traffic));
+  } else if (aKind == "crash") {
+    this->CrashWorkers(aAt, 0.1, false);
+  } else if (aKind == "cut") {
+    this->CutWorkers(aAt, 0.17);
+  } else if (aKind == "kill") {
+    this->KillHolder(aAt);
   }
 }
 
--- a/tests/soak/rehearsal_day.h
+++ b/tests/soak/rehearsal_day.h
@@ -62,6 +62,7 @@
   void DrawPlanned();
   void DrawUnplanned();
   void DrawLate();
+  void AddLate(const std::string& aKind, Milliseconds aAt);
   void DrawClosing();
 
   void RollHosts(Milliseconds aAt);
--- a/tests/soak/rehearsal_options.h
+++ b/tests/soak/rehearsal_options.h
@@ -23,6 +23,9 @@
   /** Whether all hosts are killed at the end of the traffic; when empty, the
    * seed decides. */
   std::string closing;
+  /** What happens in the last fifth of the traffic: drain, evict, roll,
+   * evict_kill, crash, cut or kill; when empty, the seed decides. */
+  std::string late;
   /** Without unplanned disruptions. */
   bool isPlannedOnly = false;
 
