--- a/tests/soak/domain_rehearsal.cpp
+++ b/tests/soak/domain_rehearsal.cpp
@@ -160,6 +160,7 @@
   int lingerMs = -1;
   int trafficS = -1;
   int finishS = -1;
+  double load = 1.0;
   int isPlannedOnly = 0;
   int areLogsKept = 0;
   const poptOption options[] = {
@@ -175,6 +176,7 @@
       0,
       "Callers that leave connections idle or in the middle of a request",
       "N" },
+    { "load", 0, POPT_ARG_DOUBLE, &load, 0, "Factor of the jobs' number", "X" },
     { "lease-ms", 0, POPT_ARG_INT, &leaseMs, 0, "Longest lease", "MS" },
     { "stop-ms", 0, POPT_ARG_INT, &stopMs, 0, "Time to stop a run", "MS" },
     { "linger-ms",
@@ -241,6 +243,9 @@
     return 64;
   }
   ModelSettings scaled = harness::ScaleSettings(*settings, chosen.workers);
+  for (ModelKind& kind : scaled.kinds) {
+    kind.arrivalsPerSecond *= load;
+  }
   scaled.workerLease = harness::Chosen(leaseMs, scaled.workerLease);
   scaled.stopTime = harness::Chosen(stopMs, scaled.stopTime);
   scaled.linger = harness::Chosen(lingerMs, scaled.linger);
