--- a/tests/model/model_settings_yaml.cpp
+++ b/tests/model/model_settings_yaml.cpp
@@ -150,9 +150,12 @@
   aSettings.teams =
     static_cast<std::int32_t>(aReader.Integer("teams", 1, 1, kMaxInteger));
   aSettings.guaranteed = ReadShare(aReader, "guaranteed");
-  aSettings.stopTime = ReadMilliseconds(aReader, "stop_ms", 0);
   aSettings.workerLease =
-    ReadMilliseconds(aReader, "lease_ms", aSettings.workerLease.count());
+    ReadMilliseconds(aReader, "worker_lease_ms", aSettings.workerLease.count());
+  aSettings.linger = ReadMilliseconds(aReader, "linger_ms", 0);
+  aSettings.coreShare =
+    ReadNonNegative(aReader, "core_share", aSettings.coreShare);
+  aSettings.stopTime = ReadMilliseconds(aReader, "stop_ms", 0);
   aSettings.reclaimTime = ReadMilliseconds(aReader, "reclaim_ms", 3000);
   aSettings.restoreTime = ReadMilliseconds(aReader, "restore_ms", 0);
   aSettings.saveInterval = ReadMilliseconds(aReader, "save_ms", 500);
--- a/tests/soak/domain_soak.cpp
+++ b/tests/soak/domain_soak.cpp
@@ -148,7 +148,8 @@
 bool
 Soak(unsigned aSeed, std::chrono::seconds aLength, int aThreads)
 {
-  SiteDeployment site(kHosts, kWorkers, aThreads);
+  SiteDeployment site(
+    kHosts, kWorkers, "threads: " + std::to_string(aThreads) + "\n");
   for (std::size_t host = 0; host < site.Hosts(); ++host) {
     if (!site.WaitUntilReady(host)) {
       std::cerr << "host" << host << " does not become ready\n";
@@ -192,7 +193,8 @@
   constexpr int kOpenCallers = 16;
   constexpr int kStallingCallers = 4;
   constexpr Milliseconds kStoreDelay{ 3 };
-  SiteDeployment site(kPlannedHosts, kWorkers, aThreads);
+  SiteDeployment site(
+    kPlannedHosts, kWorkers, "threads: " + std::to_string(aThreads) + "\n");
   for (std::size_t host = 0; host < site.Hosts(); ++host) {
     if (!site.WaitUntilReady(host)) {
       std::cerr << "host" << host << " does not become ready\n";
--- a/tests/soak/planned_work.cpp
+++ b/tests/soak/planned_work.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 /** After this time a stopped process is killed. */
+constexpr Milliseconds kProbeTimeout{ 200 };
 constexpr Milliseconds kGraceTime{ 6000 };
 constexpr Milliseconds kPollInterval{ 10 };
 constexpr Milliseconds kReadyTime{ 20'000 };
@@ -185,7 +186,7 @@
   const Instant startedAt = Clock::now();
   bool isReady = false;
   while (!isReady && Clock::now() < startedAt + kReadyTime) {
-    isReady = this->site->IsReady(aHost);
+    isReady = this->site->IsReady(aHost, kProbeTimeout);
     // The other hosts go on meanwhile.
     this->EndDuePauses(Clock::now());
     std::this_thread::sleep_for(kPollInterval);
