--- a/tests/model/domain_model.cpp
+++ b/tests/model/domain_model.cpp
@@ -77,7 +77,7 @@
             this->events.ScheduleAfter(
               kPollTime, [this, aWorker] { this->Poll(aWorker); });
           })
-  , domain(std::in_place, MakeTiming(aSettings), this->start)
+  , domain(std::in_place, MakeTiming(aSettings), this->start, this->start)
   , idleWaits(aSettings)
   , accumulatedUntil(this->start)
 {
@@ -134,7 +134,9 @@
   this->pollsInFlight.clear();
   this->isStoreScheduled = false;
   this->reservations = PreemptionReservations();
-  this->domain.emplace(MakeTiming(*this->settings), this->events.Now());
+  const Instant now = this->events.Now();
+  this->domain.emplace(
+    MakeTiming(*this->settings), now, now + DomainTiming::kRenewalGrace);
   this->PrepareDomain();
   for (const auto& [key, progress] : this->stored) {
     this->domain->AddJob(this->jobsByKey.at(key)->job,
--- a/tests/scheduling/job_answers_fuzz_test.cpp
+++ b/tests/scheduling/job_answers_fuzz_test.cpp
@@ -229,7 +229,7 @@
       return;
     }
     Reason reason;
-    DomainState domain{ DomainTiming(), Instant() };
+    DomainState domain{ DomainTiming(), Instant(), Instant() };
     domain.AddJob(*DecodeAdmittedJob(job->Value(), reason),
                   DecodeJobProgress(progress->Value(), reason),
                   progress->Revision(),
