Start overdue work at once when no more jobs arrive

Cause: once no job had arrived for 5 s, a unit still waited 2 s beside ample room before it ignored rack and headroom.

Change: such a unit starts at once. The wait of 2 s stays for tasks that never end by themselves, to which the rule applies while jobs arrive too.

--- a/tests/load_patterns/idle_wait_test.cpp
+++ b/tests/load_patterns/idle_wait_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST_SUITE(IdleWaitTest);
   CPPUNIT_TEST(NoJobWaitsBesideRoomAfterTheTraffic);
   CPPUNIT_TEST(NoJobWaitsBesideRoomAfterTakeover);
+  CPPUNIT_TEST(NoJobWaitsBesideRoomAfterItsWorkerLeftWithTheHolder);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +55,20 @@
     Check({ takeover });
   }
 
+  // The wait for ample room came on top of that for the leases of the workers
+  // that had left.
+  void NoJobWaitsBesideRoomAfterItsWorkerLeftWithTheHolder()
+  {
+    ModelTrouble leave;
+    leave.kind = ModelTrouble::Kind::kLeave;
+    leave.start = Milliseconds(41'000);
+    leave.share = 0.1;
+    ModelTrouble takeover;
+    takeover.kind = ModelTrouble::Kind::kTakeover;
+    takeover.start = Milliseconds(44'000);
+    Check({ leave, takeover });
+  }
+
 private:
   static void Check(const std::vector<ModelTrouble>& aTroubles)
   {
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -29,8 +29,8 @@
 /** Queues with this priority value or a higher one hold batch work; 0 is the
  * most urgent. */
 constexpr std::int32_t kFirstBatchPriority = 2;
-/** A job with nothing running may wait 3 s while its service has ample room for
- * it; the rest of that time is for the store and the orders. */
+/** A task that never ends by itself may wait 3 s while its service has ample
+ * room for it; the rest of that time is for the store and the orders. */
 constexpr Milliseconds kMaxAmpleRoomWait{ 2000 };
 /** While jobs arrive, others are expected that need the headroom, and work away
  * from its rack takes room from them. Without an arrival for this time, room is
@@ -263,22 +263,22 @@
   }
 }
 
-/** Whether the unit has waited so long beside ample room that it has to start
- * without headroom and away from the rack that it prefers. That applies to jobs
- * with nothing running once no more jobs arrive, and to tasks that never end by
- * themselves at any time. */
+/** Whether the unit has to start in ample room without headroom and away from
+ * the rack that it prefers: if nothing of its job runs and no more jobs arrive,
+ * at once, as a run that was given up has waited already; if its tasks never
+ * end by themselves, after a short wait at any time. */
 bool
 DomainPass::IsOverdueInAmpleRoom(const TrackedJob& aJob,
                                  TaskUnit& aUnit,
                                  const UnitRef& aRef)
 {
+  const bool isEndless = aJob.StepOf(aUnit).IsEndless();
   const bool isQuiet = this->now >= this->domain->LastArrival() + kQuietTime;
-  const bool isJudged =
-    aJob.StepOf(aUnit).IsEndless() || (isQuiet && aJob.Idle());
+  const bool isJudged = isEndless || (isQuiet && aJob.Idle());
   aUnit.NoteAmpleRoom(isJudged && this->view.HasAmpleRoom(aJob, aUnit, aRef),
                       this->now);
-  return aUnit.AmpleRoomSince() &&
-         this->now >= *aUnit.AmpleRoomSince() + kMaxAmpleRoomWait;
+  const Milliseconds wait = isEndless ? kMaxAmpleRoomWait : Milliseconds(0);
+  return aUnit.AmpleRoomSince() && this->now >= *aUnit.AmpleRoomSince() + wait;
 }
 
 /** Whether batch work may still wait behind other work: it has waited less than
