--- a/tests/history/stop_test.cpp
+++ b/tests/history/stop_test.cpp
@@ -102,8 +102,10 @@
   {
     StoppedHost host;
     std::atomic<bool> isOver = false;
+    constexpr int kOpeners = 8;
     std::vector<std::thread> openers;
-    for (int opener = 0; opener < 8; ++opener) {
+    openers.reserve(kOpeners);
+    for (int opener = 0; opener < kOpeners; ++opener) {
       openers.emplace_back([&host, &isOver] {
         constexpr std::size_t kMaxOpen = 100;
         std::deque<RawConnection> open;
@@ -213,8 +215,10 @@
     std::atomic<int> answered = 0;
     std::atomic<int> lost = 0;
     std::atomic<bool> isOver = false;
+    constexpr int kCallers = 8;
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < 8; ++caller) {
+    callers.reserve(kCallers);
+    for (int caller = 0; caller < kCallers; ++caller) {
       callers.emplace_back([&] {
         const std::string request = host.Head("GET", "/one/none", 0);
         while (!isOver) {
