--- a/codecs/domain_host_settings_yaml.cpp
+++ b/codecs/domain_host_settings_yaml.cpp
@@ -22,6 +22,8 @@
 constexpr double kMaxCoreShare = 1024.0;
 /** One hour. A longer time is refused as a probable mistake in the unit. */
 constexpr std::int64_t kMaxDurationMs = 3'600'000;
+constexpr double kMinRestartS = 0.1;
+constexpr double kMaxRestartS = 3600.0;
 
 Milliseconds
 ReadDuration(YamlReader& aReader,
@@ -42,6 +44,8 @@
       ReadDuration(aTiming, "holder_lease_ms", defaults.HolderLease()));
     timing.WorkerLease(
       ReadDuration(aTiming, "worker_lease_ms", defaults.WorkerLease()));
+    timing.RestartTime(aTiming.Seconds(
+      "restart_s", defaults.RestartTime(), kMinRestartS, kMaxRestartS));
     timing.StopTime(ReadDuration(aTiming, "stop_ms", defaults.StopTime()));
     timing.ReclaimTime(
       ReadDuration(aTiming, "reclaim_ms", defaults.ReclaimTime()));
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -14,6 +14,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <vector>
@@ -68,6 +69,7 @@
   boost::asio::io_context control;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
     controlWork;
+  boost::asio::signal_set stopSignals;
   boost::asio::steady_timer stopTimer;
   /** Ends the process with steps of the stop that are not done. */
   boost::asio::steady_timer budgetTimer;
--- a/daemon/domain_daemon.h
+++ b/daemon/domain_daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/domain_gain.h"
 #include "contracts/domain_host_settings.h"
 #include "core/stop_budget.h"
 #include "daemon/lease_thread.h"
@@ -67,7 +68,7 @@
    * serving thread has ended. */
   void EndIfDone();
   bool IsReady() const;
-  void OnDomainGained(std::int64_t aTerm, std::int64_t aTermRevision);
+  void OnDomainGained(const DomainGain& aGain);
   void OnDomainLost();
 
   DomainHostSettings host;
--- a/scheduling/lease_loop.h
+++ b/scheduling/lease_loop.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "codecs/domain_owner_json.h"
+#include "contracts/domain_gain.h"
+#include "contracts/domain_timing.h"
 #include "core/reason.h"
 #include "links/row_store.h"
 #include "scheduling/event_line.h"
@@ -15,6 +17,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <functional>
 #include <string>
@@ -37,9 +42,8 @@
    * loop's thread. */
   struct Listener
   {
-    /** Called after a takeover, once the term is stored; aTermRevision is the
-     * revision of the term's row. */
-    std::function<void(std::int64_t aTerm, std::int64_t aTermRevision)> gained;
+    /** Called after a takeover, once the term is stored. */
+    std::function<void(const DomainGain& aGain)> gained;
     std::function<void()> lost;
   };
 
@@ -56,6 +60,7 @@
     , lease(aSelf, std::move(aProcess), aLength)
     , feed(aStore, kLeaseTable, kOwnerRow, AfterKey(kOwnerRow))
     , listener(std::move(aListener))
+    , takeoverEnd(aContext, boost::asio::steady_timer::time_point::max())
   {
     // The delay keeps hosts from trying at the same instant and lets those
     // with a large share of a core try first, since the holder's work grows
@@ -100,34 +105,25 @@
   }
 
   /** Stops the loop and releases the lease in the store, so that another host
-   * can take over at once. Retries a few times; a failure is logged. */
+   * can take over at once. A takeover in flight is awaited first. Attempts that
+   * fail are repeated for kReleaseTime; a failure is logged. */
   boost::asio::awaitable<void> Release()
   {
+    const Instant until = Clock::now() + kReleaseTime;
     this->isStopping = true;
+    if (this->isTakingOver) {
+      boost::system::error_code ignored;
+      co_await this->takeoverEnd.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
     if (!this->isHolder) {
       co_return;
     }
     this->Lose("released");
-    for (int attempt = 0; attempt < kReleaseAttempts; ++attempt) {
-      const std::optional<DomainOwner> row = this->lease.RenewalRow(true);
-      const std::int64_t revision = this->lease.Revision();
-      Reason reason;
-      const CommitAnswer answer = co_await this->Write(*row, revision, reason);
-      if (answer.Outcome() == WriteOutcome::kCommitted) {
-        EventLine("domain_released").Field("term", row->Term()).Emit();
-        co_return;
-      }
-      // A renewal in flight may have changed the row.
-      const TableRow* current = this->OwnerRow(answer.Current());
-      const auto owner = current == nullptr
-                           ? std::nullopt
-                           : DecodeDomainOwner(current->Value(), reason);
-      if (!owner || !this->lease.IsSameHolder(*owner)) {
-        EventLine("domain_release_failed").Field(reason).Emit();
-        co_return;
-      }
-      this->SetLease(
-        this->lease.RowObserved(owner, current->Revision(), Clock::now()));
+    bool isSettled = co_await this->WriteRelease();
+    while (!isSettled && Clock::now() + kRetryPause < until) {
+      co_await Pause(*this->context, kRetryPause);
+      isSettled = co_await this->WriteRelease();
     }
   }
 
@@ -151,7 +147,8 @@
    * survives a lost renewal. */
   static constexpr int kRenewalsPerLease = 4;
   static constexpr Milliseconds kRetryPause{ 100 };
-  static constexpr int kReleaseAttempts = 3;
+  /** Time in which a release that fails is repeated. */
+  static constexpr Milliseconds kReleaseTime{ 1000 };
   static constexpr Milliseconds kMaxWait{ 1000 };
   /** Upper bound of the takeover delay that is derived from the host's name. */
   static constexpr Milliseconds kMaxHostDelay{ 40 };
@@ -178,6 +175,40 @@
     co_return answer;
   }
 
+  /** Writes the released row; true when no further attempt is needed. */
+  boost::asio::awaitable<bool> WriteRelease()
+  {
+    const std::optional<DomainOwner> row = this->lease.RenewalRow(true);
+    const std::int64_t revision = this->lease.Revision();
+    Reason reason;
+    const CommitAnswer answer = co_await this->Write(*row, revision, reason);
+    if (answer.Outcome() == WriteOutcome::kCommitted) {
+      EventLine("domain_released").Field("term", row->Term()).Emit();
+      co_return true;
+    }
+    if (answer.Outcome() != WriteOutcome::kConflict) {
+      EventLine("domain_release_failed")
+        .Field("term", row->Term())
+        .Field(reason)
+        .Emit();
+      co_return false;
+    }
+    const TableRow* current = this->OwnerRow(answer.Current());
+    const auto owner = current == nullptr
+                         ? std::nullopt
+                         : DecodeDomainOwner(current->Value(), reason);
+    // A renewal or a takeover in flight may have changed the row.
+    if (owner && this->lease.IsSameHolder(*owner)) {
+      this->SetLease(
+        this->lease.RowObserved(owner, current->Revision(), Clock::now()));
+      co_return false;
+    }
+    // The row names another process, or an attempt whose answer was lost has
+    // released it.
+    EventLine("domain_not_held").Field("term", row->Term()).Emit();
+    co_return true;
+  }
+
   boost::asio::awaitable<void> Renew()
   {
     Reason reason;
@@ -263,7 +294,8 @@
     }
     if (!this->isStopping && Clock::now() >= this->TakeoverTime()) {
       co_await this->TakeOver();
-    } else if (row != nullptr && this->watchPause.count() > 0) {
+    } else if (row != nullptr && this->watchPause.count() > 0 &&
+               Clock::now() + this->watchPause < this->TakeoverTime()) {
       co_await Pause(*this->context, this->watchPause);
     }
   }
@@ -310,8 +342,9 @@
   /** Stores the term of a takeover, on which the holder's transactions depend,
    * and then reports the gain. From then on a former holder can store nothing.
    * Terms only rise: a write of an earlier term that arrives late finds another
-   * revision. */
-  boost::asio::awaitable<void> StoreTerm(std::int64_t aTerm)
+   * revision. aRenewedUntil is passed on to the listener. */
+  boost::asio::awaitable<void> StoreTerm(std::int64_t aTerm,
+                                         Instant aRenewedUntil)
   {
     while (this->isHolder && this->lease.Row()->Term() == aTerm) {
       Reason reason;
@@ -341,7 +374,7 @@
         co_return;
       }
       if (isCurrent && isStored) {
-        this->listener.gained(aTerm, revision);
+        this->listener.gained(DomainGain{ aTerm, revision, aRenewedUntil });
         co_return;
       }
       EventLine("domain_term_not_stored")
@@ -353,6 +386,14 @@
   }
 
   boost::asio::awaitable<void> TakeOver()
+  {
+    this->isTakingOver = true;
+    co_await this->WriteTakeover();
+    this->isTakingOver = false;
+    this->takeoverEnd.cancel();
+  }
+
+  boost::asio::awaitable<void> WriteTakeover()
   {
     Reason reason;
     std::int64_t lastTerm = 0;
@@ -372,6 +413,8 @@
     }
     const std::string previous =
       this->lease.Row() ? this->lease.Row()->Host().Text() : "";
+    const bool isReleased =
+      this->lease.Row() && this->lease.Row()->IsReleased();
     const Instant sent = Clock::now();
     const std::int64_t revision =
       std::max<std::int64_t>(this->lease.Revision(), 0);
@@ -386,8 +429,22 @@
     if (isCommitted) {
       this->isHolder = true;
       this->SetLease(this->lease.RowWritten(*row, answer.Revision(), sent));
-      boost::asio::co_spawn(
-        *this->context, this->StoreTerm(row->Term()), boost::asio::detached);
+      // A holder stops renewing before it releases the domain; one whose lease
+      // has expired goes on for its grace time.
+      const Instant renewedUntil =
+        isReleased ? sent : Clock::now() + DomainTiming::kRenewalGrace;
+      if (!this->isStopping) {
+        boost::asio::co_spawn(*this->context,
+                              this->StoreTerm(row->Term(), renewedUntil),
+                              boost::asio::detached);
+      }
+      co_return;
+    }
+    if (this->isStopping && answer.Outcome() == WriteOutcome::kNotKnown) {
+      // The row may name this process, or will do so, until Release() writes
+      // it.
+      this->isHolder = true;
+      this->lease = this->lease.RowWritten(*row, revision, Instant());
       co_return;
     }
     // Another process was first, or the outcome is not known. If the row names
@@ -419,12 +476,16 @@
   Store* store;
   Milliseconds length;
   Milliseconds takeoverDelay{ 0 };
-  /** Pause after each observed renewal. */
+  /** Pause after each observed renewal, unless the domain may be taken over
+   * before its end. */
   Milliseconds watchPause{ 0 };
   DomainLease lease;
   std::atomic<Instant> exclusiveUntil{ Instant() };
   RowFeed<Store> feed;
   Listener listener;
+  /** Never expires; cancelled at the end of a takeover. */
+  boost::asio::steady_timer takeoverEnd;
+  bool isTakingOver = false;
   bool isHolder = false;
   bool isStoreLost = false;
   bool isStopping = false;
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -60,6 +60,7 @@
     const JobProgress progress =
       Valid(JobProgressBuilder()
               .Queue(QueueName("q"))
+              .Address(QueueAddress("a/q/"))
               .State(JobState::kRunning)
               .Marks("s.D")
               .FailedRuns({ FailedRun{ 0, 1 } })
@@ -90,6 +91,7 @@
     const auto make = [&](std::int32_t aRows) {
       return Valid(JobProgressBuilder()
                      .Queue(QueueName("q"))
+                     .Address(QueueAddress("a/q/"))
                      .State(JobState::kRunning)
                      .Marks("sss")
                      .FailedRuns(failed)
@@ -178,15 +180,16 @@
     CPPUNIT_ASSERT(IsDomainHostSettings(kHost));
     CPPUNIT_ASSERT(!IsDomainHostSettings("name: a\n"));
     const auto host = DecodeDomainHostSettings(
-      kHost +
-        "core_share: 0.25\ngrace_s: 4.5\ntiming: {worker_lease_ms: 10000}\n"
-        "policy: {headroom: 0.15}\n",
+      kHost + "core_share: 0.25\ngrace_s: 4.5\n"
+              "timing: {worker_lease_ms: 10000, restart_s: 14.5}\n"
+              "policy: {headroom: 0.15}\n",
       "f",
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, host->ShareOfCore(), 0.0);
     CPPUNIT_ASSERT(Milliseconds(4500) == host->GraceTime());
     CPPUNIT_ASSERT(Milliseconds(10000) == host->Timing().WorkerLease());
+    CPPUNIT_ASSERT(Milliseconds(14500) == host->Timing().RestartTime());
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.15, host->Policy().Headroom(), 0.0);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
       DomainPolicy().BatchHeadroom(), host->Policy().BatchHeadroom(), 0.0);
@@ -197,7 +200,8 @@
                                      "unknown: 1\n",
                                      "policy: {headroom: 2}\n",
                                      "policy: {most_waste: .nan}\n",
-                                     "timing: {stop_ms: 0}\n" }) {
+                                     "timing: {stop_ms: 0}\n",
+                                     "timing: {restart_s: 0}\n" }) {
       CPPUNIT_ASSERT_MESSAGE(
         invalidLine,
         !DecodeDomainHostSettings(kHost + invalidLine, "f", reason));
--- a/tests/harness/site_deployment.cpp
+++ b/tests/harness/site_deployment.cpp
@@ -1,5 +1,10 @@
 #include "tests/harness/site_deployment.h"
 
+#include "codecs/base64.h"
+#include "codecs/domain_owner_json.h"
+#include "contracts/store_tables.h"
+#include "core/reason.h"
+#include "scheduling/store_rows.h"
 #include "tests/harness/http_client.h"
 #include "tests/harness/loopback.h"
 #include "tests/harness/wait.h"
@@ -21,10 +26,11 @@
 json
 Configuration(const std::string& aHost,
               std::int64_t aVersion,
-              int aFurtherQueues)
+              int aFurtherQueues,
+              const std::string& aName = "r1")
 {
   const json queue = {
-    { "Name", "r1" },    { "Host", aHost },           { "PathPrefix", "/one/" },
+    { "Name", aName },   { "Host", aHost },           { "PathPrefix", "/one/" },
     { "Service", "s1" }, { "Priority", 1 },           { "MaxAttempts", 3 },
     { "Stretch", 3.0 },  { "TargetDurationMs", 1000 }
   };
@@ -43,7 +49,9 @@
 
 }
 
-SiteDeployment::SiteDeployment(int aHosts, int aWorkers)
+SiteDeployment::SiteDeployment(int aHosts,
+                               int aWorkers,
+                               const std::string& aHostSettings)
   : site(FreeEndpoint())
 {
   this->platform.emplace(
@@ -66,8 +74,8 @@
       "name: " + name +
         "\ndata_centre: zone\ncallers: " + this->callers.back().Text() +
         "\nreadiness: " + this->readiness.back().Text() +
-        "\nmetrics: " + FreeEndpoint().Text() +
-        "\nstore: " + this->storeLinks.back()->Address().Text() + "\n"));
+        "\nmetrics: " + FreeEndpoint().Text() + "\nstore: " +
+        this->storeLinks.back()->Address().Text() + "\n" + aHostSettings));
     this->Start(host);
   }
 }
@@ -87,6 +95,36 @@
   return WaitForHttp(this->readiness[aHost], "/api/ready", kOk, kReadyTimeout);
 }
 
+bool
+SiteDeployment::IsReady(std::size_t aHost, Milliseconds aTimeout) const
+{
+  HttpClient client(this->readiness[aHost]);
+  const auto answer = client.Get("/api/ready", aTimeout);
+  return answer && answer->status == kOk;
+}
+
+std::optional<std::size_t>
+SiteDeployment::StoredHolder() const
+{
+  HttpClient client(this->site);
+  const auto answer =
+    client.Get("/api/rows-get?Table=" + kLeaseTable + "&part=" + kLeaseTable +
+                 "&From=" + kOwnerRow,
+               kCallTimeout);
+  const json page = answer ? json::parse(answer->body, nullptr, false) : json();
+  if (!page.is_object() || page.value("rows", json::array()).empty()) {
+    return std::nullopt;
+  }
+  const auto text = DecodeBase64(page["rows"][0].value("Value", ""));
+  Reason ignored; // Without a readable row there is no holder.
+  const auto owner = DecodeDomainOwner(text.value_or(""), ignored);
+  constexpr std::size_t kPrefixLength = 4; // "host"
+  if (!owner || owner->Host().Text().size() <= kPrefixLength) {
+    return std::nullopt;
+  }
+  return std::stoul(owner->Host().Text().substr(kPrefixLength));
+}
+
 std::optional<std::size_t>
 SiteDeployment::Holder() const
 {
@@ -141,6 +179,13 @@
                 Configuration(this->site.Ip(), aVersion, aFurtherQueues));
 }
 
+void
+SiteDeployment::RenameQueue(std::int64_t aVersion,
+                            const std::string& aName) const
+{
+  this->Control("config", Configuration(this->site.Ip(), aVersion, 0, aName));
+}
+
 void
 SiteDeployment::PrepareJob(const std::string& aJob,
                            int aMembers,
--- a/tests/harness/site_deployment.h
+++ b/tests/harness/site_deployment.h
@@ -19,17 +19,30 @@
 class SiteDeployment
 {
 public:
-  SiteDeployment(int aHosts, int aWorkers);
+  /** aHostSettings are further lines of each host's settings. */
+  SiteDeployment(int aHosts,
+                 int aWorkers,
+                 const std::string& aHostSettings = "");
 
   std::size_t Hosts() const { return this->daemons.size(); }
   Process& Daemon(std::size_t aHost) { return *this->daemons.at(aHost); }
+  const std::string& LogPath(std::size_t aHost) const
+  {
+    return this->logs.at(aHost);
+  }
   /** Starts or restarts a daemon. */
   void Start(std::size_t aHost);
   bool WaitUntilReady(std::size_t aHost) const;
+  /** Whether the host reports itself ready within aTimeout. */
+  bool IsReady(std::size_t aHost, Milliseconds aTimeout) const;
   /** The relay between a daemon and the store. */
   Relay& StoreLink(std::size_t aHost) { return *this->storeLinks.at(aHost); }
   /** The host whose log has the committed takeover with the highest term. */
   std::optional<std::size_t> Holder() const;
+  /** The host that the store's row names as the holder. */
+  std::optional<std::size_t> StoredHolder() const;
+  /** Endpoint of the stand-in. */
+  const Endpoint& Site() const { return this->site; }
 
   /** Posts aBody to the stand-in's "/control/" + aCommand and returns the
    * decoded answer, null without one. */
@@ -37,6 +50,8 @@
                          const nlohmann::json& aBody) const;
   /** Writes a version of the configuration with aFurtherQueues more queues. */
   void Configure(std::int64_t aVersion, int aFurtherQueues) const;
+  /** Writes a version in which the queue under "/one/" has another name. */
+  void RenameQueue(std::int64_t aVersion, const std::string& aName) const;
   /** Endpoint at which the host serves callers. */
   const Endpoint& Callers(std::size_t aHost) const
   {
--- a/tests/model/model_settings_yaml.cpp
+++ b/tests/model/model_settings_yaml.cpp
@@ -122,8 +122,12 @@
     trouble.kind = ModelTrouble::Kind::kSlow;
   } else if (kind == "restart") {
     trouble.kind = ModelTrouble::Kind::kRestart;
+  } else if (kind == "leave") {
+    trouble.kind = ModelTrouble::Kind::kLeave;
+  } else if (kind == "takeover") {
+    trouble.kind = ModelTrouble::Kind::kTakeover;
   } else {
-    aReader.Fail("kind", "must be burst, slow or restart");
+    aReader.Fail("kind", "must be burst, slow, restart, leave or takeover");
   }
   trouble.start = ReadMilliseconds(aReader, "at_ms", 0);
   trouble.duration = ReadMilliseconds(aReader, "for_ms", 0);
@@ -146,6 +150,11 @@
   aSettings.teams =
     static_cast<std::int32_t>(aReader.Integer("teams", 1, 1, kMaxInteger));
   aSettings.guaranteed = ReadShare(aReader, "guaranteed");
+  aSettings.workerLease =
+    ReadMilliseconds(aReader, "worker_lease_ms", aSettings.workerLease.count());
+  aSettings.linger = ReadMilliseconds(aReader, "linger_ms", 0);
+  aSettings.coreShare =
+    ReadNonNegative(aReader, "core_share", aSettings.coreShare);
   aSettings.stopTime = ReadMilliseconds(aReader, "stop_ms", 0);
   aSettings.reclaimTime = ReadMilliseconds(aReader, "reclaim_ms", 3000);
   aSettings.restoreTime = ReadMilliseconds(aReader, "restore_ms", 0);
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -11,6 +11,11 @@
 constexpr std::int64_t kLongMs = 60'000;
 /** By when a guaranteed job must have started; the default of DomainTiming. */
 constexpr std::int64_t kReclaimMs = 3000;
+/** By when after the last arrival every job must run or have run. */
+constexpr std::int64_t kFinishMs = 14'000;
+/** How long a job may have nothing running beside ample room. */
+constexpr std::int64_t kMaxIdleMs = 3000;
+constexpr Milliseconds kLongEstimate{ 20'000 };
 
 /** Submits a batch job of aTasks tasks, each of which needs a quarter of a
  * worker, and runs one scheduling pass. */
@@ -23,6 +28,45 @@
   aWorld.Pass({});
 }
 
+/** Polls all workers and runs a pass every 100 ms for aMs milliseconds. */
+void
+PollAndPass(DomainWorld& aWorld, std::int64_t aMs)
+{
+  constexpr std::int64_t kIntervalMs = 100;
+  for (std::int64_t passed = 0; passed < aMs; passed += kIntervalMs) {
+    aWorld.PollAll();
+    aWorld.Pass({});
+    aWorld.Advance(kIntervalMs);
+  }
+}
+
+/** Starts a long task and polls its worker for a second; returns the name of
+ * the worker. */
+std::string
+StartTaskAndPoll(DomainWorld& aWorld)
+{
+  aWorld.PollAll();
+  aWorld.PollAll();
+  aWorld.Submit(
+    MakeAdmitted("task", 1, { Valid(QuarterStep(1)) }), kLongMs, false);
+  PollAndPass(aWorld, 1000);
+  return aWorld.site.workers.at("w0").Runs().empty() ? "w1" : "w0";
+}
+
+/** Time in milliseconds until the site has counted aStarts starts. */
+std::int64_t
+TimeUntilStart(DomainWorld& aWorld, std::int64_t aStarts)
+{
+  constexpr std::int64_t kIntervalMs = 100;
+  constexpr std::int64_t kLimitMs = 60'000;
+  std::int64_t waitedMs = 0;
+  while (aWorld.site.Starts() < aStarts && waitedMs < kLimitMs) {
+    PollAndPass(aWorld, kIntervalMs);
+    waitedMs += kIntervalMs;
+  }
+  return waitedMs;
+}
+
 std::int64_t
 PendingIn(DomainWorld& aWorld)
 {
@@ -38,9 +82,17 @@
 class DomainPassTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(DomainPassTest);
+  CPPUNIT_TEST(TaskOfWorkerAndHolderLostTogetherRunsWithinRestartTime);
+  CPPUNIT_TEST(TaskOfWorkerThatLeftRunsAgainWithinThreeSeconds);
+  CPPUNIT_TEST(PlannedHandOverAddsNoGraceTimeForLostWorker);
   CPPUNIT_TEST(SmallTasksArePackedSoThatGangsFindEmptyWorkers);
   CPPUNIT_TEST(GangThatDoesNotFitStartsNoMember);
   CPPUNIT_TEST(GangPreferringOneRackWaitsForIt);
+  CPPUNIT_TEST(GangPreferringOneRackStartsInAmpleRoomAfterLastArrival);
+  CPPUNIT_TEST(GangPreferringOneRackWaitsForItWhileJobsArrive);
+  CPPUNIT_TEST(TaskAwayFromItsDataStartsInAmpleRoomAfterLastArrival);
+  CPPUNIT_TEST(BatchTaskStartsInHeadroomAfterLastArrival);
+  CPPUNIT_TEST(EndlessTaskStartsInHeadroomWhileJobsArrive);
   CPPUNIT_TEST(GangLargerThanRackSpansRacks);
   CPPUNIT_TEST(GuaranteedJobPreemptsBurstOfBatchWork);
   CPPUNIT_TEST(BatchWorkLeavesHeadroomForUrgentJobs);
@@ -121,6 +173,76 @@
                          RackOf(world, members[1].worker));
   }
 
+  // A gang whose declared run time is long waited for one rack for as long as
+  // its objective allows, with nothing running, although most of the fleet was
+  // free and no more jobs arrived.
+  void GangPreferringOneRackStartsInAmpleRoomAfterLastArrival()
+  {
+    DomainWorld world(8, 2);
+    SubmitGangWithoutFreeRack(world);
+    CPPUNIT_ASSERT(StartsWithin(world, "tight", kFinishMs));
+  }
+
+  // A gang that started across racks while other jobs arrived would take
+  // several times the room from them, and be late itself.
+  void GangPreferringOneRackWaitsForItWhileJobsArrive()
+  {
+    DomainWorld world(8, 2);
+    SubmitGangWithoutFreeRack(world);
+    for (std::int64_t arrival = 0; arrival < kFinishMs / 1000; ++arrival) {
+      SubmitWithoutAccelerators(world, arrival);
+      CPPUNIT_ASSERT(!StartsWithin(world, "tight", 1000));
+    }
+  }
+
+  // A task waited for the full rack of its data in the same way.
+  void TaskAwayFromItsDataStartsInAmpleRoomAfterLastArrival()
+  {
+    DomainWorld world(4, 1);
+    world.PollAll();
+    world.Submit(
+      MakeAdmitted("full", 1, { Valid(WholeWorkerGang(1).Label("r0")) }),
+      kLongMs,
+      false);
+    world.Pass({});
+    world.Submit(MakeAdmitted("far",
+                              1,
+                              { Valid(WholeWorkerGang(1)
+                                        .IsGang(false)
+                                        .DataRack(RackName("r0"))
+                                        .Estimate(kLongEstimate)) }),
+                 kLongMs,
+                 false);
+    CPPUNIT_ASSERT(StartsWithin(world, "far", kFinishMs));
+  }
+
+  // Batch work was kept out of the headroom for urgent jobs although no more
+  // jobs arrived and most of the fleet's cores were free.
+  void BatchTaskStartsInHeadroomAfterLastArrival()
+  {
+    DomainWorld world(4, 4);
+    SubmitUrgentWork(world, 10);
+    world.Submit(
+      MakeAdmitted(
+        "batch", 2, { Valid(QuarterStep(1).Estimate(kLongEstimate)) }),
+      kLongMs,
+      false);
+    CPPUNIT_ASSERT(StartsWithin(world, "batch", kFinishMs));
+  }
+
+  // A task that never ends by itself must run at any time if there is room for
+  // it twice over, however full the fleet is; it waited for headroom for ever.
+  void EndlessTaskStartsInHeadroomWhileJobsArrive()
+  {
+    DomainWorld world(4, 4);
+    SubmitUrgentWork(world, 14);
+    world.Submit(
+      MakeAdmitted("endless", 1, { Valid(QuarterStep(1).IsEndless(true)) }),
+      kLongMs,
+      false);
+    CPPUNIT_ASSERT(StartsWithin(world, "endless", kMaxIdleMs));
+  }
+
   void GangLargerThanRackSpansRacks()
   {
     DomainWorld world(4, 2);
@@ -556,6 +678,59 @@
     CPPUNIT_ASSERT(JobState::kFinished == world.StateOf("task"));
   }
 
+  // Failure: the task of a worker that is gone waits for a lease of 10 s, and
+  // 4 s more when the holder is lost as well, with most of the room free.
+  void TaskOfWorkerAndHolderLostTogetherRunsWithinRestartTime()
+  {
+    constexpr Milliseconds kRestartTime{ 14'000 };
+    DomainWorld world(2,
+                      2,
+                      Valid(DomainTimingBuilder()
+                              .HolderLease(Milliseconds(2000))
+                              .WorkerLease(Milliseconds(10'000))
+                              .RestartTime(kRestartTime)));
+    const std::string lost = StartTaskAndPoll(world);
+    world.RemoveWorker(lost);
+    // The next holder takes over when the lease of the lost one has expired.
+    constexpr std::int64_t kTakeoverMs = 3000;
+    world.Advance(kTakeoverMs);
+    world.TakeOver();
+    const std::int64_t waitedMs = kTakeoverMs + TimeUntilStart(world, 2);
+    CPPUNIT_ASSERT_LESSEQUAL(std::int64_t{ kRestartTime.count() }, waitedMs);
+    CPPUNIT_ASSERT(world.site.Violations().empty());
+  }
+
+  // Failure: the task of a worker that drained and left waits for the rest of a
+  // lease that was renewed until the worker's exit.
+  void TaskOfWorkerThatLeftRunsAgainWithinThreeSeconds()
+  {
+    DomainWorld world(2,
+                      2,
+                      Valid(DomainTimingBuilder()
+                              .WorkerLease(Milliseconds(10'000))
+                              .RestartTime(Milliseconds(14'000))));
+    const std::string leaving = StartTaskAndPoll(world);
+    world.DrainWorker(leaving);
+    PollAndPass(world, 9000);
+    world.RemoveWorker(leaving);
+    CPPUNIT_ASSERT_LESSEQUAL(std::int64_t{ 3000 }, TimeUntilStart(world, 2));
+  }
+
+  // Failure: a planned stop of the holder adds the grace time of a lost holder
+  // to the wait for a worker that is gone.
+  void PlannedHandOverAddsNoGraceTimeForLostWorker()
+  {
+    const DomainTiming timing;
+    DomainWorld world(2, 2, timing);
+    const std::string lost = StartTaskAndPoll(world);
+    world.RemoveWorker(lost);
+    world.TakeOver(true);
+    constexpr std::int64_t kSlackMs = 1000;
+    CPPUNIT_ASSERT_LESSEQUAL(timing.GrantedLease().count() + kSlackMs,
+                             TimeUntilStart(world, 2));
+    CPPUNIT_ASSERT(world.site.Violations().empty());
+  }
+
   // Failure: nothing shows for how long a task was without a run because its
   // worker was silent.
   void RunsOfSilentWorkerAreReportedWhenGivenUp()
@@ -605,6 +780,51 @@
   }
 
 private:
+  /** Submits a gang of two whole workers that prefers one rack, to a fleet of
+   * racks of two workers of which one has a small task. */
+  static void SubmitGangWithoutFreeRack(DomainWorld& aWorld)
+  {
+    aWorld.PollAll();
+    for (const char* rack : { "r0", "r1", "r2", "r3" }) {
+      aWorld.Submit(
+        MakeAdmitted(rack, 1, { Valid(QuarterStep(1).Label(rack)) }),
+        kLongMs,
+        false);
+    }
+    aWorld.Pass({});
+    aWorld.Submit(
+      MakeAdmitted("tight",
+                   1,
+                   { Valid(WholeWorkerGang(2).PrefersOneRack(true).Estimate(
+                     kLongEstimate)) }),
+      kLongMs,
+      false);
+  }
+
+  /** Submits urgent tasks that need two accelerators and hardly any cores. */
+  static void SubmitUrgentWork(DomainWorld& aWorld, std::int32_t aTasks)
+  {
+    aWorld.PollAll();
+    aWorld.Submit(MakeAdmitted("urgent",
+                               0,
+                               { Valid(QuarterStep(aTasks).Need(
+                                 MakeResources(1000, 1000, 2))) }),
+                  kLongMs,
+                  false);
+    aWorld.Pass({});
+  }
+
+  static void SubmitWithoutAccelerators(DomainWorld& aWorld,
+                                        std::int64_t aNumber)
+  {
+    aWorld.Submit(MakeAdmitted("arrival-" + std::to_string(aNumber),
+                               1,
+                               { Valid(QuarterStep(1).Need(
+                                 MakeResources(1000, 1000, 0))) }),
+                  500,
+                  false);
+  }
+
   static std::string RackOf(DomainWorld& aWorld, const WorkerName& aWorker)
   {
     return aWorld.site.workers.at(aWorker.Text()).rack;
--- a/tests/scheduling/lease_loop_test.cpp
+++ b/tests/scheduling/lease_loop_test.cpp
@@ -6,26 +6,47 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cppunit/extensions/HelperMacros.h>
+#include <exception>
+#include <functional>
 #include <memory>
+#include <utility>
 
 namespace sardinecourse {
 
 namespace {
 
 constexpr Milliseconds kLease{ 400 };
+/** Longer than the delays that keep hosts from taking over together. */
+constexpr Milliseconds kLongLease{ 2000 };
 constexpr Milliseconds kMaxRun{ 5000 };
 constexpr Milliseconds kFeedWait{ 5 };
 
 /** A store whose feed waits before it answers, so that several hosts can follow
- * it on one thread. */
+ * it on one thread. The answer of a transaction can be delayed. */
 class WaitingRowStore : public FakeRowStore
 {
 public:
+  /** Called once, between the next transaction and its answer. */
+  std::function<void()> beforeAnswer;
+
   explicit WaitingRowStore(boost::asio::io_context& aContext)
     : context(&aContext)
   {
   }
 
+  boost::asio::awaitable<CommitAnswer> Commit(
+    const TableTransaction& aTransaction,
+    Reason& aReason)
+  {
+    CommitAnswer answer =
+      co_await this->FakeRowStore::Commit(aTransaction, aReason);
+    if (const auto hook = std::exchange(this->beforeAnswer, nullptr)) {
+      hook();
+      co_await Pause(*this->context, kFeedWait);
+    }
+    co_return answer;
+  }
+
   boost::asio::awaitable<std::optional<RowPage>> Changes(std::string aTable,
                                                          std::int64_t aAfter,
                                                          Milliseconds aWait,
@@ -52,8 +73,16 @@
   CPPUNIT_TEST(TakeoverWithoutOwnerRowKeepsTermsRising);
   CPPUNIT_TEST(TermWithLostAnswerIsReportedOnce);
   CPPUNIT_TEST(HostWithLargestShareTakesOver);
+  CPPUNIT_TEST(ReleasedHolderRenewsNoLeaseAfterTheTakeover);
+  CPPUNIT_TEST(LostHolderMayRenewLeasesAfterTheTakeover);
   CPPUNIT_TEST(OneHostTakesOverFromLostHolder);
   CPPUNIT_TEST(ReleaseEndsExclusivityBeforeTheHolderLearnsOfIt);
+  CPPUNIT_TEST(StopDuringTakeoverReleasesDomain);
+  CPPUNIT_TEST(StopDuringTakeoverWithLostAnswerReleasesDomain);
+  CPPUNIT_TEST(StopDuringTakeoverThatIsNotStoredReleasesDomain);
+  CPPUNIT_TEST(SmallHostTakesReleasedDomainOverAtOnce);
+  CPPUNIT_TEST(RefusedReleaseIsRepeated);
+  CPPUNIT_TEST(ReleaseWithLostAnswerIsRepeated);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -66,7 +95,7 @@
     this->store.Put(kDomainTable, kTermRow, "7");
     this->Add("a", 1.0);
     this->RunUntilGains(1);
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 8 }, this->lastTerm);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 8 }, this->lastGain.term);
     CPPUNIT_ASSERT_EQUAL(std::string("8"),
                          this->store.Find(kDomainTable, kTermRow)->Value());
   }
@@ -77,9 +106,9 @@
     this->store.faults = { StoreFault::kNone, StoreFault::kLostApplied };
     this->Add("a", 1.0);
     this->RunUntilGains(1);
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, this->lastTerm);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, this->lastGain.term);
     CPPUNIT_ASSERT_EQUAL(this->store.Find(kDomainTable, kTermRow)->Revision(),
-                         this->lastRevision);
+                         this->lastGain.termRevision);
   }
 
   void HostWithLargestShareTakesOver()
@@ -91,18 +120,36 @@
     CPPUNIT_ASSERT_EQUAL(std::string("large"), this->lastHolder);
   }
 
+  // Failure: after a planned stop of the holder, runs on a worker that is gone
+  // wait for renewals that nobody sends.
+  void ReleasedHolderRenewsNoLeaseAfterTheTakeover()
+  {
+    this->PutOwner(true);
+    this->Add("a", 1.0);
+    this->RunUntilGains(1);
+    CPPUNIT_ASSERT(this->lastGain.renewedUntil <= Clock::now());
+  }
+
+  /** A holder that cannot reach the store renews during its grace time. */
+  void LostHolderMayRenewLeasesAfterTheTakeover()
+  {
+    this->PutOwner(false);
+    this->Add("a", 1.0);
+    const Instant started = Clock::now();
+    this->RunUntilGains(1);
+    CPPUNIT_ASSERT(this->lastGain.renewedUntil >=
+                   started + kLease + DomainTiming::kRenewalGrace);
+  }
+
   /** All other hosts see the holder's lease expire at the same time. */
   void OneHostTakesOverFromLostHolder()
   {
-    this->store.Put(kLeaseTable,
-                    kOwnerRow,
-                    R"({"host":"gone","process":"p0","term":3,"renewal":1,)"
-                    R"("released":false})");
+    this->PutOwner(false);
     for (const char* host : { "a", "b", "c", "d", "e", "f" }) {
       this->Add(host, 0.12);
     }
     this->RunUntilGains(1);
-    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 4 }, this->lastTerm);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 4 }, this->lastGain.term);
     this->context.restart();
     this->context.run_for(2 * kLease);
     CPPUNIT_ASSERT_EQUAL(1, this->gains);
@@ -124,24 +171,141 @@
     CPPUNIT_ASSERT(loop.ExclusiveUntil() < Clock::now());
   }
 
+  /** A host with a small share of a core reads renewals with pauses. It paused
+   * after a release as well, although no larger host took the domain over. */
+  void SmallHostTakesReleasedDomainOverAtOnce()
+  {
+    constexpr double kSmallShare = 0.2;
+    constexpr Milliseconds kShareDelay{ 480 };
+    constexpr Milliseconds kMaxHostDelay{ 40 };
+    constexpr Milliseconds kSlack{ 300 };
+    const std::string owner = R"({"host":"a","process":"p0","term":3,)";
+    this->store.Put(
+      kLeaseTable, kOwnerRow, owner + R"("renewal":1,"released":false})");
+    this->Add("b", kSmallShare, kLongLease);
+    this->context.run_for(kFeedWait);
+    const Instant releasedAt = Clock::now();
+    this->store.Put(
+      kLeaseTable, kOwnerRow, owner + R"("renewal":2,"released":true})");
+    this->RunUntilGains(1);
+    CPPUNIT_ASSERT(Clock::now() < releasedAt + kLongLease / 2 + kShareDelay +
+                                    kMaxHostDelay + kSlack);
+  }
+
+  /** A host that was told to stop while its takeover was in flight kept the
+   * domain until its lease expired, without any holder. */
+  void StopDuringTakeoverReleasesDomain()
+  {
+    this->StopDuringTakeover(StoreFault::kNone);
+  }
+
+  /** The takeover took effect, but the host does not know it when it stops. */
+  void StopDuringTakeoverWithLostAnswerReleasesDomain()
+  {
+    this->StopDuringTakeover(StoreFault::kLostApplied);
+  }
+
+  /** The takeover can still take effect after the host has stopped, unless the
+   * host writes the row once more. */
+  void StopDuringTakeoverThatIsNotStoredReleasesDomain()
+  {
+    this->StopDuringTakeover(StoreFault::kLostUnapplied);
+    CPPUNIT_ASSERT(this->store.Find(kLeaseTable, kOwnerRow) != nullptr);
+  }
+
+  /** A host whose release was refused by a busy store kept the domain until its
+   * lease expired. */
+  void RefusedReleaseIsRepeated()
+  {
+    this->ReleaseWithFault(StoreFault::kNotWritten);
+  }
+
+  /** The release was lost on its way, and no other attempt followed. */
+  void ReleaseWithLostAnswerIsRepeated()
+  {
+    this->ReleaseWithFault(StoreFault::kLostUnapplied);
+  }
+
 private:
-  void Add(const std::string& aHost, double aShare)
+  void PutOwner(bool aIsReleased)
+  {
+    this->store.Put(
+      kLeaseTable,
+      kOwnerRow,
+      std::string(
+        R"({"host":"gone","process":"p0","term":3,"renewal":1,"released":)") +
+        (aIsReleased ? "true}" : "false}"));
+  }
+
+  void Release(const std::unique_ptr<Loop>& aLoop)
+  {
+    boost::asio::co_spawn(
+      this->context, aLoop->Release(), [this](const std::exception_ptr&) {
+        this->isReleased = true;
+      });
+  }
+
+  void RunUntilReleased()
+  {
+    const Instant until = Clock::now() + kMaxRun;
+    while (!this->isReleased && Clock::now() < until) {
+      this->context.restart();
+      this->context.run_for(kFeedWait);
+    }
+    CPPUNIT_ASSERT(this->isReleased);
+  }
+
+  /** Whether the store shows that any host may take the domain over. */
+  bool IsDomainFree() const
+  {
+    const TableRow* row = this->store.Find(kLeaseTable, kOwnerRow);
+    Reason reason;
+    const auto owner =
+      row == nullptr ? std::nullopt : DecodeDomainOwner(row->Value(), reason);
+    return !owner || owner->IsReleased();
+  }
+
+  void StopDuringTakeover(StoreFault aFault)
+  {
+    this->store.faults = { aFault };
+    this->store.beforeAnswer = [this] { this->Release(this->loops.back()); };
+    this->Add("a", 1.0);
+    this->RunUntilReleased();
+    this->context.restart();
+    this->context.run_for(kLease / 4);
+    CPPUNIT_ASSERT(this->IsDomainFree());
+    CPPUNIT_ASSERT_EQUAL(0, this->gains);
+    CPPUNIT_ASSERT(this->loops.back()->ExclusiveUntil() < Clock::now());
+  }
+
+  void ReleaseWithFault(StoreFault aFault)
+  {
+    this->Add("a", 1.0);
+    this->RunUntilGains(1);
+    this->store.faults = { aFault };
+    this->Release(this->loops.back());
+    this->RunUntilReleased();
+    CPPUNIT_ASSERT(this->IsDomainFree());
+    CPPUNIT_ASSERT_EQUAL(1, this->losses);
+  }
+
+  void Add(const std::string& aHost,
+           double aShare,
+           Milliseconds aLease = kLease)
   {
     this->loops.push_back(std::make_unique<Loop>(
       this->context,
       this->store,
       HostName(aHost),
       "process of " + aHost,
-      kLease,
+      aLease,
       aShare,
-      Loop::Listener{
-        [this, aHost](std::int64_t aTerm, std::int64_t aRevision) {
-          ++this->gains;
-          this->lastTerm = aTerm;
-          this->lastRevision = aRevision;
-          this->lastHolder = aHost;
-        },
-        [this] { ++this->losses; } }));
+      Loop::Listener{ [this, aHost](const DomainGain& aGain) {
+                       ++this->gains;
+                       this->lastGain = aGain;
+                       this->lastHolder = aHost;
+                     },
+                      [this] { ++this->losses; } }));
     boost::asio::co_spawn(
       this->context, this->loops.back()->Run(), boost::asio::detached);
   }
@@ -160,8 +324,8 @@
   std::vector<std::unique_ptr<Loop>> loops;
   int gains = 0;
   int losses = 0;
-  std::int64_t lastTerm = 0;
-  std::int64_t lastRevision = 0;
+  bool isReleased = false;
+  DomainGain lastGain;
   std::string lastHolder;
 };
 
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -28,9 +28,13 @@
 
 }
 
-DomainState::DomainState(DomainTiming aTiming, Instant aHolderSince)
+DomainState::DomainState(DomainTiming aTiming,
+                         Instant aHolderSince,
+                         Instant aRenewedUntil)
   : timing(aTiming)
   , holderSince(aHolderSince)
+  , renewedUntil(aRenewedUntil)
+  , lastArrival(aHolderSince)
 {
 }
 
@@ -50,6 +54,7 @@
   if (!isNew) {
     return;
   }
+  this->lastArrival = aNow;
   TrackedJob& job = position->second;
   if (aProgress) {
     job.Restore(*aProgress);
@@ -112,6 +117,19 @@
   return found == this->guarantees.end() ? 0 : found->second;
 }
 
+void
+DomainState::SetQueueNames(std::map<QueueAddress, QueueName> aNames)
+{
+  this->queueNames = std::move(aNames);
+}
+
+const QueueName&
+DomainState::CurrentQueueName(const AdmittedJob& aJob) const
+{
+  const auto found = this->queueNames.find(aJob.Address());
+  return found == this->queueNames.end() ? aJob.Queue() : found->second;
+}
+
 void
 DomainState::ListWorker(const WorkerListing& aListing, Instant aNow)
 {
@@ -154,9 +172,7 @@
   if (isIncarnationKnown) {
     return !found->second.IsLeaseExpired(aNow);
   }
-  const Milliseconds longest =
-    this->timing.WorkerLease() + DomainTiming::kRenewalGrace + kLeaseMargin;
-  return aNow < this->holderSince + longest;
+  return aNow < this->renewedUntil + this->timing.GrantedLease() + kLeaseMargin;
 }
 
 Instant
@@ -228,7 +244,8 @@
     worker->RecordAnswer(aReport.Incarnation(), aReport.ClockMs(), aReceived);
   if (isFirst || isRestarted) {
     // An earlier holder may have granted the longest lease.
-    worker->RecordLease(aReport.ClockMs() + this->timing.WorkerLease().count());
+    worker->RecordLease(aReport.ClockMs() +
+                        this->timing.GrantedLease().count());
   }
   std::vector<EndedTask> newEnds;
   for (const EndedTask& end : aReport.Ended()) {
@@ -385,8 +402,10 @@
   if (worker == nullptr || !worker->IsIncarnationConfirmed()) {
     return 0;
   }
-  const std::int64_t until =
-    worker->ClockAt(aNow) + this->timing.WorkerLease().count();
+  const Milliseconds lease = worker->LeavingSince()
+                               ? this->timing.LeavingLease()
+                               : this->timing.GrantedLease();
+  const std::int64_t until = worker->ClockAt(aNow) + lease.count();
   worker->RecordLease(until);
   return until;
 }
@@ -623,7 +642,7 @@
   for (const JobKey& key : this->active) {
     const TrackedJob& job = this->jobs.at(key);
     if (!job.Final() && !job.HasStarted()) {
-      ++pending[job.Job().Queue()];
+      ++pending[this->CurrentQueueName(job.Job())];
     }
   }
   return pending;
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -29,8 +29,12 @@
 class DomainState
 {
 public:
-  /** aHolderSince is when this host became the holder of the domain. */
-  DomainState(DomainTiming aTiming, Instant aHolderSince);
+  /** aHolderSince is when this host became the holder of the domain, and
+   * aRenewedUntil the latest time at which an earlier holder may have renewed a
+   * worker's lease. */
+  DomainState(DomainTiming aTiming,
+              Instant aHolderSince,
+              Instant aRenewedUntil);
 
   const DomainTiming& Timing() const { return this->timing; }
 
@@ -40,6 +44,8 @@
               const std::optional<JobProgress>& aProgress,
               std::int64_t aRevision,
               Instant aNow);
+  /** When the latest job was added; the start of the term before that. */
+  Instant LastArrival() const { return this->lastArrival; }
   void CancelJob(const JobKey& aJob, Instant aNow);
   TrackedJob* FindJob(const JobKey& aJob);
   std::map<JobKey, TrackedJob>& Jobs() { return this->jobs; }
@@ -53,6 +59,9 @@
   void SetGuarantees(std::map<TeamName, std::int64_t> aGuarantees);
   std::int64_t GuaranteeOf(const TeamName& aTeam) const;
 
+  /** Names of the queues in force, by address. */
+  void SetQueueNames(std::map<QueueAddress, QueueName> aNames);
+
   void ListWorker(const WorkerListing& aListing, Instant aNow);
   void UnlistWorker(const WorkerName& aWorker);
   TrackedWorker* FindWorker(const WorkerName& aWorker);
@@ -134,7 +143,7 @@
   const QueueRunTimes& RunTimes() const { return this->runTimes; }
 
   /** Number of accepted jobs of each queue of which no task was confirmed to
-   * have started. */
+   * have started. A queue counts under the name in force. */
   std::map<QueueName, std::int64_t> Pending() const;
 
   static TaskAddress AddressOf(const TrackedJob& aJob,
@@ -146,6 +155,7 @@
                           StopCause aCause);
 
 private:
+  const QueueName& CurrentQueueName(const AdmittedJob& aJob) const;
   void AllocateResources(const TrackedJob& aJob,
                          const TaskUnit& aUnit,
                          TrackedWorker& aWorker);
@@ -171,12 +181,15 @@
 
   DomainTiming timing;
   Instant holderSince;
+  Instant renewedUntil;
+  Instant lastArrival;
   std::map<JobKey, TrackedJob> jobs;
   std::set<JobKey> active;
   /** Archived jobs, with the time from which their retention counts. */
   std::map<JobKey, Instant> archived;
   std::map<WorkerName, TrackedWorker> workers;
   std::map<TeamName, std::int64_t> guarantees;
+  std::map<QueueAddress, QueueName> queueNames;
   std::vector<StopOrder> orphans;
   QueueRunTimes runTimes;
   Instant lastSweep{};
