--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -266,7 +266,8 @@
                   { "Running", json::array() },
                   { "Ended", json::array() } };
   for (const auto& [name, current] : aWorker.Runs()) {
-    answer["Running"].push_back({ name, current.run, "", 0 });
+    answer["Running"].push_back(
+      { name, current.run, "", current.PercentAt(this->simulation.nowMs) });
   }
   for (const SiteEnd& end : aWorker.ListedEnds()) {
     answer["Ended"].push_back(
--- a/tests/stand_ins/site_simulation.cpp
+++ b/tests/stand_ins/site_simulation.cpp
@@ -256,6 +256,7 @@
       if (isComplete && run->completeMs == 0) {
         run->completeMs = this->nowMs;
       }
+      run->workMs = workMs;
       firstStartMs = std::min(firstStartMs, run->startedMs);
       completeSinceMs = std::max(completeSinceMs, run->completeMs);
     }
--- a/tests/stand_ins/site_worker.cpp
+++ b/tests/stand_ins/site_worker.cpp
@@ -46,7 +46,7 @@
   if (aUntilMs <= aNowMs) {
     return "late";
   }
-  this->runs[aTask] = SiteRun{ aRun, aNowMs, 0, 0 };
+  this->runs[aTask] = SiteRun{ aRun, aNowMs };
   return "ok";
 }
 
--- a/tests/stand_ins/site_worker.h
+++ b/tests/stand_ins/site_worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -14,8 +15,20 @@
   std::int64_t startedMs = 0;
   /** When all members of its gang were running; 0 before. */
   std::int64_t completeMs = 0;
+  /** Time from completeMs to the end of the work; 0 when not known yet. */
+  std::int64_t workMs = 0;
   /** When an ordered stop takes effect; 0 without one. */
   std::int64_t stopAtMs = 0;
+
+  /** Share of the work that is done, in percent. */
+  std::int64_t PercentAt(std::int64_t aNowMs) const
+  {
+    constexpr std::int64_t kAll = 100;
+    return this->completeMs == 0 || this->workMs == 0
+             ? 0
+             : std::min(kAll - 1,
+                        kAll * (aNowMs - this->completeMs) / this->workMs);
+  }
 };
 
 /** End of a run, which the worker reports until it is acknowledged. */
