Keep serving when only a thread's connection to the store is silent

Every thread that serves callers keeps connections to the store open. When they go silent while new ones work, the thread learns of it by the first call that times out, after 1.5 s. From 1 s after that call was sent until 1 s after its end it then refused every caller with 503, "the store does not answer", and did not repeat a failed read for the same reason, although the store answered the host's other threads and confirmed the configuration all the while.

A call that is not answered now counts against the store only if no later call was answered. The confirmation of the configuration, which one thread renews at least every 0.8 s, gives the time at which an answered call was sent.

--- a/scheduling/current_catalog.h
+++ b/scheduling/current_catalog.h
@@ -36,13 +36,17 @@
     this->confirmedAt.store(aInstant.time_since_epoch().count(),
                             std::memory_order_release);
   }
+  /** When the call to the store that gave the last confirmation was sent. */
+  Instant ConfirmedAt() const
+  {
+    return Instant(
+      Clock::duration(this->confirmedAt.load(std::memory_order_acquire)));
+  }
   /** Time since the last confirmation. The clock also advances while the host
    * is suspended. */
   Milliseconds ConfirmationAge(Instant aNow) const
   {
-    const Instant at(
-      Clock::duration(this->confirmedAt.load(std::memory_order_acquire)));
-    return std::chrono::duration_cast<Milliseconds>(aNow - at);
+    return std::chrono::duration_cast<Milliseconds>(aNow - this->ConfirmedAt());
   }
 
 private:
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -142,13 +142,19 @@
       aReply = Refuse(JobReply::Kind::kNotRun, "the store is out of reach");
       return std::nullopt;
     }
-    if (this->storeHealth.IsUnresponsive(Clock::now())) {
+    if (this->IsStoreUnresponsive()) {
       aReply = Refuse(JobReply::Kind::kNotRun, "the store does not answer");
       return std::nullopt;
     }
     return this->ResolveCallIn(*catalog, aCall, aReply);
   }
 
+  bool IsStoreUnresponsive() const
+  {
+    return this->storeHealth.IsUnresponsive(
+      Clock::now(), this->currentCatalog->ConfirmedAt());
+  }
+
   boost::asio::awaitable<CommitAnswer> Commit(
     const TableTransaction& aTransaction,
     Reason& aReason)
@@ -361,8 +367,7 @@
          reads < kMaxReads && reply.kind == JobReply::Kind::kNotRun;
          ++reads) {
       co_await Pause(*this->context, kRetryPause);
-      if (!this->IsTimeLeft(aCall) ||
-          this->storeHealth.IsUnresponsive(Clock::now())) {
+      if (!this->IsTimeLeft(aCall) || this->IsStoreUnresponsive()) {
         break;
       }
       reply = co_await this->Show(aCallContext);
--- a/scheduling/store_health.cpp
+++ b/scheduling/store_health.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/store_health.h"
 
+#include <algorithm>
+
 namespace sardinecourse {
 
 namespace {
@@ -28,17 +30,20 @@
     this->unansweredAt = Instant();
   } else if (aNow >= sentAt + kUnresponsiveAfter) {
     this->unansweredAt = aNow;
+    this->unansweredSent = sentAt;
   }
 }
 
 bool
-StoreHealth::IsUnresponsive(Instant aNow) const
+StoreHealth::IsUnresponsive(Instant aNow, Instant aAnswered) const
 {
-  const bool isWaiting =
-    !this->pending.empty() &&
-    aNow >= this->pending.begin()->second + kUnresponsiveAfter;
+  const bool isWaiting = std::any_of(
+    this->pending.begin(), this->pending.end(), [&](const auto& aCall) {
+      return aCall.second >= aAnswered &&
+             aNow >= aCall.second + kUnresponsiveAfter;
+    });
   const bool isRecentlyUnanswered =
-    this->unansweredAt != Instant() &&
+    this->unansweredAt != Instant() && this->unansweredSent >= aAnswered &&
     aNow < this->unansweredAt + kUnresponsiveAfter;
   return isWaiting || isRecentlyUnanswered;
 }
--- a/scheduling/store_health.h
+++ b/scheduling/store_health.h
@@ -20,8 +20,10 @@
   void CallCompleted(std::uint64_t aCall, bool aIsAnswered, Instant aNow);
 
   /** Whether the store leaves calls unanswered, so that a call sent now would
-   * probably not be answered either. */
-  bool IsUnresponsive(Instant aNow) const;
+   * probably not be answered either. aAnswered is when a call was sent that the
+   * store has answered to any thread: an earlier call that is not answered was
+   * lost with its connection. */
+  bool IsUnresponsive(Instant aNow, Instant aAnswered) const;
 
 private:
   std::uint64_t lastCall = 0;
@@ -29,6 +31,8 @@
   /** When the last call without an answer was given up; empty once a call was
    * answered after it. */
   Instant unansweredAt{};
+  /** When that call was sent. */
+  Instant unansweredSent{};
 };
 
 }
