Let both operations of the raw test connection share one wait

Cause: sending and receiving of RawConnection each had the same six lines that run the pending operation and cancel it after a time. Change: RawConnection::RunFor(); behaviour as before.

--- a/tests/harness/raw_connection.cpp
+++ b/tests/harness/raw_connection.cpp
@@ -77,6 +77,17 @@
   return this->socket->isOpen;
 }
 
+void
+RawConnection::RunFor(Milliseconds aTimeout)
+{
+  this->socket->context.restart();
+  this->socket->context.run_for(aTimeout);
+  boost::system::error_code ignored;
+  this->socket->tcp.cancel(ignored);
+  this->socket->context.restart();
+  this->socket->context.run();
+}
+
 std::size_t
 RawConnection::SendFor(std::string_view aBytes, Milliseconds aTimeout)
 {
@@ -90,12 +101,7 @@
         this->socket->isOpen = false;
       }
     });
-  this->socket->context.restart();
-  this->socket->context.run_for(aTimeout);
-  boost::system::error_code ignored;
-  this->socket->tcp.cancel(ignored);
-  this->socket->context.restart();
-  this->socket->context.run();
+  this->RunFor(aTimeout);
   return sent;
 }
 
@@ -112,12 +118,7 @@
         this->socket->isOpen = false;
       }
     });
-  this->socket->context.restart();
-  this->socket->context.run_for(aTimeout);
-  boost::system::error_code ignored;
-  this->socket->tcp.cancel(ignored);
-  this->socket->context.restart();
-  this->socket->context.run();
+  this->RunFor(aTimeout);
 }
 
 void
--- a/tests/harness/raw_connection.h
+++ b/tests/harness/raw_connection.h
@@ -43,6 +43,8 @@
 private:
   struct Socket;
 
+  /** Runs the pending operation, and cancels it after aTimeout. */
+  void RunFor(Milliseconds aTimeout);
   void ReceiveSome(Milliseconds aTimeout);
 
   std::unique_ptr<Socket> socket;
