--- a/review/cases_2/case_site.cpp
+++ b/review/cases_2/case_site.cpp
@@ -4,9 +4,7 @@
 #include "links/http_request.h"
 #include "tests/harness/http_client.h"
 #include "tests/harness/loopback.h"
-#include "tests/harness/wait.h"
 
-#include <array>
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
@@ -145,21 +143,6 @@
   return resident * sysconf(_SC_PAGESIZE) / kBytesPerMb;
 }
 
-std::size_t
-CaseSite::Takeovers(std::size_t aHost) const
-{
-  std::istringstream log(ReadFile(this->hosts.at(aHost).log));
-  std::size_t count = 0;
-  for (std::string line; std::getline(log, line);) {
-    const json entry = json::parse(line, nullptr, false);
-    const bool isTakeover = entry.is_object() &&
-                            entry.value("event", "") == "domain_takeover" &&
-                            entry.value("committed", 0) == 1;
-    count += isTakeover ? 1 : 0;
-  }
-  return count;
-}
-
 std::optional<HttpAnswer>
 CaseSite::Call(std::size_t aHost,
                const std::string& aMethod,
--- a/review/cases_2/case_site.h
+++ b/review/cases_2/case_site.h
@@ -54,8 +54,6 @@
   }
   /** Resident memory of a host; 0 when it isn't running. */
   std::int64_t MemoryMb(std::size_t aHost);
-  /** Number of committed takeovers in the host's log. */
-  std::size_t Takeovers(std::size_t aHost) const;
 
   /** Sends a client's call; empty without an answer. A job is named by its key
    * in the first queue, or by its path. */
