Refuse jobs whose unit count or due time overflows

The holder exceeded its memory limit, and so did each host that took over.

Cause: JobPlan::UnitCount() and HasStorableProgress() multiplied and added in 64 bits without a check. 4 * (2^31 - 1)^2 wraps to a negative number, which passes both bounds; TrackedJob then makes a unit for each task. FirstMs + K * IntervalMs wrapped in the same way, to a time in the past, so that an occurrence was due at once.

Change: the bounds use saturated sums and products, so a sum beyond the type is beyond the bound. The reasons name the bound and the figure. A plan whose occurrences are due outside the clock's range is refused, and resource amounts are bounded so that sums over all tasks fit. A stored job of an earlier version that the bounds refuse is not loaded; the others are, and a metric counts it.

--- a/contracts/job_plan.cpp
+++ b/contracts/job_plan.cpp
@@ -1,15 +1,26 @@
 #include "contracts/job_plan.h"
 
+#include "core/saturated.h"
+
 namespace sardinecourse {
 
+WallTime
+JobPlan::DueOf(std::int32_t aOccurrence) const
+{
+  const std::int64_t delay =
+    SaturatedProduct(aOccurrence, this->interval.count());
+  return WallTime(Milliseconds(
+    SaturatedSum(this->firstDue.time_since_epoch().count(), delay)));
+}
+
 std::int64_t
 JobPlan::UnitCount() const
 {
   std::int64_t count = 0;
   for (const JobStep& step : this->steps) {
-    count += step.IsGang() ? 1 : step.Count();
+    count = SaturatedSum(count, step.IsGang() ? 1 : step.Count());
   }
-  return count * this->occurrences;
+  return SaturatedProduct(count, this->occurrences);
 }
 
 }
--- a/contracts/job_plan.h
+++ b/contracts/job_plan.h
@@ -27,8 +27,10 @@
   WallTime FirstDue() const { return this->firstDue; }
   /** Time between two occurrences of a timed job. */
   Milliseconds Interval() const { return this->interval; }
+  /** When an occurrence of a timed job is due, in wall-clock time. */
+  WallTime DueOf(std::int32_t aOccurrence) const;
   /** Number of units in all occurrences: a gang counts as one unit, every other
-   * task as one. */
+   * task as one. The largest number of the type if there are more. */
   std::int64_t UnitCount() const;
 
   auto operator<=>(const JobPlan&) const = default;
--- a/contracts/job_plan_builder.cpp
+++ b/contracts/job_plan_builder.cpp
@@ -2,6 +2,8 @@
 
 #include "core/reason.h"
 
+#include <chrono>
+#include <string>
 #include <utility>
 
 namespace sardinecourse {
@@ -10,6 +12,16 @@
 
 /** Bounds the memory that one job can use. */
 constexpr std::int64_t kMaxUnits = 20'000;
+/** Latest time on the platform's clocks, which count nanoseconds in 64 bits. */
+constexpr WallTime kMaxDue{ std::chrono::duration_cast<Milliseconds>(
+  std::chrono::nanoseconds::max()) };
+
+bool
+IsOnClock(WallTime aTime)
+{
+  return aTime <= kMaxDue &&
+         aTime.time_since_epoch() >= -kMaxDue.time_since_epoch();
+}
 
 bool
 DependsOnlyOnEarlierSteps(const JobPlan& aPlan)
@@ -87,7 +99,21 @@
     return std::nullopt;
   }
   if (this->value.UnitCount() > kMaxUnits) {
-    aReason = Reason(Step::kDecode, "", "the job has too many units");
+    aReason = Reason(Step::kDecode,
+                     "",
+                     "the job has " + std::to_string(this->value.UnitCount()) +
+                       " units in all occurrences, at most " +
+                       std::to_string(kMaxUnits) + " are accepted");
+    return std::nullopt;
+  }
+  if (this->value.isTimed &&
+      !(IsOnClock(this->value.firstDue) &&
+        IsOnClock(this->value.DueOf(this->value.occurrences - 1)))) {
+    aReason = Reason(Step::kDecode,
+                     "",
+                     "an occurrence is due more than " +
+                       std::to_string(kMaxDue.time_since_epoch().count()) +
+                       " ms from 1970");
     return std::nullopt;
   }
   return this->value;
--- a/contracts/job_plan_builder.h
+++ b/contracts/job_plan_builder.h
@@ -9,8 +9,8 @@
 class Reason;
 
 /** Builds a JobPlan. Build() returns nullopt and sets aReason if there are no
- * steps or no occurrences, a step depends on a step that is not earlier, or
- * there are too many units. */
+ * steps or no occurrences, a step depends on a step that is not earlier, there
+ * are too many units, or an occurrence is due outside the clock's range. */
 class JobPlanBuilder
 {
 public:
--- a/contracts/progress_limits.cpp
+++ b/contracts/progress_limits.cpp
@@ -2,6 +2,9 @@
 
 #include "contracts/job_plan.h"
 #include "core/reason.h"
+#include "core/saturated.h"
+
+#include <string>
 
 namespace sardinecourse {
 
@@ -24,18 +27,30 @@
   std::int64_t failedBytes = 0;
   for (const JobStep& step : aPlan.Steps()) {
     if (step.IsGang() && step.Count() > kMaxOpenTasks) {
-      aReason = Reason(Step::kAdmission, "", "a gang has too many tasks");
+      aReason = Reason(Step::kAdmission,
+                       "",
+                       "a gang has " + std::to_string(step.Count()) +
+                         " tasks, at most " + std::to_string(kMaxOpenTasks) +
+                         " are accepted");
       return false;
     }
     const std::int64_t units = step.IsGang() ? 1 : step.Count();
     const std::int64_t attempts = step.IsEndless() ? 0 : aMaxAttempts;
-    failedBytes += units * aPlan.Occurrences() *
-                   (kFailedUnitBytes + attempts * kFailedRunBytes);
+    const std::int64_t unitBytes = SaturatedSum(
+      kFailedUnitBytes, SaturatedProduct(attempts, kFailedRunBytes));
+    failedBytes =
+      SaturatedSum(failedBytes,
+                   SaturatedProduct(
+                     SaturatedProduct(units, aPlan.Occurrences()), unitBytes));
   }
-  if (failedBytes >
-      static_cast<std::int64_t>(kMaxTransactionBytes) - kReservedBytes) {
-    aReason = Reason(
-      Step::kAdmission, "", "the job has too many units for its attempts");
+  constexpr std::int64_t kMaxFailedBytes =
+    static_cast<std::int64_t>(kMaxTransactionBytes) - kReservedBytes;
+  if (failedBytes > kMaxFailedBytes) {
+    aReason = Reason(Step::kAdmission,
+                     "",
+                     "the failed runs of all units can take " +
+                       std::to_string(failedBytes) + " bytes, at most " +
+                       std::to_string(kMaxFailedBytes) + " are stored");
     return false;
   }
   return true;
--- a/machines/resources_builder.cpp
+++ b/machines/resources_builder.cpp
@@ -2,10 +2,18 @@
 
 #include "core/reason.h"
 
+#include <string>
 #include <utility>
 
 namespace sardinecourse {
 
+namespace {
+
+/** Keeps the sums over the tasks of all jobs within 64 bits. */
+constexpr std::int64_t kMaxAmount = 1'000'000'000;
+
+}
+
 ResourcesBuilder&
 ResourcesBuilder::MilliCores(std::int64_t aMilliCores)
 {
@@ -36,6 +44,15 @@
       Reason(Step::kDecode, "", "resource amounts must not be negative");
     return std::nullopt;
   }
+  if (this->value.milliCores > kMaxAmount ||
+      this->value.memoryMb > kMaxAmount ||
+      this->value.accelerators > kMaxAmount) {
+    aReason =
+      Reason(Step::kDecode,
+             "",
+             "resource amounts must not exceed " + std::to_string(kMaxAmount));
+    return std::nullopt;
+  }
   return this->value;
 }
 
--- a/scheduling/domain_feeds.h
+++ b/scheduling/domain_feeds.h
@@ -189,6 +189,8 @@
       progress = DecodeProgressRows(rows, reason);
     }
     if (!job || (aProgress != nullptr && !progress)) {
+      // The job keeps its stored state, which callers are shown.
+      this->term->Metrics().Count(DomainMetrics::Event::kJobNotLoaded);
       EventLine("job_unreadable").Field("job", aJob.Key()).Field(reason).Emit();
       return;
     }
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -31,7 +31,9 @@
     kStoreFailed,
     kRunDone,
     kRunFailed,
-    kRunLost
+    kRunLost,
+    /** A stored job that this version cannot load. */
+    kJobNotLoaded
   };
 
   /** Event as which the outcome of a run is counted. */
--- a/tests/scheduling/domain_term_test.cpp
+++ b/tests/scheduling/domain_term_test.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(ExceptionInPassEndsTermOnly);
   CPPUNIT_TEST(OddWorkerEntriesAreSkipped);
   CPPUNIT_TEST(JobArchivedBetweenReadsIsNotLoaded);
+  CPPUNIT_TEST(StoredJobWithOverflowingCountsIsSkipped);
   CPPUNIT_TEST(PendingJobCountsAtRenamedQueue);
   CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,37 @@
     CPPUNIT_ASSERT(term->Domain().FindJob(JobKey("gone")) == nullptr);
   }
 
+  /** An earlier version accepted a job whose number of units overflows. Each
+   * holder that loaded it exceeded its memory, and nothing ran any more. */
+  void StoredJobWithOverflowingCountsIsSkipped()
+  {
+    const JobStep step = Valid(QuarterStep(1));
+    std::string stored =
+      EncodeAdmittedJob(MakeAdmitted("huge", 1, { step, step, step, step }));
+    for (const std::string field : { "\"count\":1", "\"occurrences\":1" }) {
+      for (std::size_t at = stored.find(field); at != std::string::npos;
+           at = stored.find(field, at + field.size())) {
+        stored.replace(at + field.size() - 1, 1, "2147483647");
+      }
+    }
+    const std::string progress = EncodeJobProgress(
+      Valid(JobProgressBuilder().Queue(QueueName("queue-1"))));
+    this->store.Put(kJobTable, "huge", stored);
+    this->store.Put(kProgressTable, "huge", progress);
+    this->store.Put(kJobTable,
+                    kJob.Text(),
+                    EncodeAdmittedJob(
+                      MakeAdmitted(kJob.Text(), 1, { Valid(QuarterStep(1)) })));
+    this->store.Put(kProgressTable, kJob.Text(), progress);
+    const auto term = this->MakeTerm();
+    CPPUNIT_ASSERT(this->Load(*term));
+    CPPUNIT_ASSERT(term->Domain().FindJob(kJob) != nullptr);
+    CPPUNIT_ASSERT(term->Domain().FindJob(JobKey("huge")) == nullptr);
+    CPPUNIT_ASSERT_EQUAL(
+      std::uint64_t{ 1 },
+      this->metrics.CountOf(DomainMetrics::Event::kJobNotLoaded));
+  }
+
   /** The route of a waiting job gets another name, under which callers ask for
    * its pending jobs from then on; none was counted there. */
   void PendingJobCountsAtRenamedQueue()
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -36,6 +36,8 @@
  * from its rack takes room from them. Without an arrival for this time, room is
  * not kept for work to come. */
 constexpr Milliseconds kQuietTime{ 5000 };
+/** Longest wait that is computed from an estimate, in ms; about 30 years. */
+constexpr double kMaxWaitMilliseconds = 1e12;
 
 StopCause
 CauseToStop(const TrackedJob& aJob, const TaskUnit& aUnit)
@@ -144,8 +146,7 @@
   }
   const JobPlan& plan = aJob.Job().Plan();
   return !plan.IsTimed() ||
-         this->wallTime >=
-           plan.FirstDue() + aUnit.Occurrence() * plan.Interval() + kDueMargin;
+         this->wallTime >= plan.DueOf(aUnit.Occurrence()) + kDueMargin;
 }
 
 std::vector<WaitingGroup>
@@ -403,7 +404,9 @@
   const double slack =
     (aJob.Job().Stretch() - 1.0) * static_cast<double>(aRunTime.count()) +
     static_cast<double>(aJob.Job().Allowance().count());
-  return Milliseconds(static_cast<std::int64_t>(std::max(0.0, slack * aShare)));
+  // A caller's estimate can be any number; its product may exceed the type.
+  return Milliseconds(static_cast<std::int64_t>(
+    std::clamp(slack * aShare, 0.0, kMaxWaitMilliseconds)));
 }
 
 }
