Check callers' and workers' numbers before narrowing them

Callers saw: a job with Repeats of 2^32 or 1e20 was accepted and ran once, a step that depends on step 2^32 depended on step 0, Cpu of 2^64 counted as -1 and 1e300 as none. A deadline of 2^63 - 1 ms overflowed to a time in the past. Same cause as the overflowing counts: a number was used before it was known to fit.

Change: WholeNumber() and SmallInteger() are the only conversions of JSON numbers of callers, workers and stored jobs; a number beyond 64 bits saturates, and the bounds of the values refuse it. The reply to a malformed job names the reason.

Result: NumbersBeyondTheirRangeAreRefused, NumbersBeyondTheirRangeInReportAreBounded and DeadlineBeyondTheClockIsBounded failed before and pass. All unit tests pass (17 of 17).

--- a/codecs/admitted_job_json.cpp
+++ b/codecs/admitted_job_json.cpp
@@ -46,7 +46,7 @@
   const auto dependencies = aStep.find("after");
   if (dependencies != aStep.end() && dependencies->is_array()) {
     for (const nlohmann::json& step : *dependencies) {
-      after.push_back(step.is_number_integer() ? step.get<std::int32_t>() : -1);
+      after.push_back(SmallInteger(step));
     }
   }
   return JobStepBuilder()
--- a/codecs/json_fields.cpp
+++ b/codecs/json_fields.cpp
@@ -5,6 +5,23 @@
 
 namespace sardinecourse {
 
+namespace {
+
+using Limits = std::numeric_limits<std::int64_t>;
+
+constexpr double kTwoToThe63 = 9223372036854775808.0;
+
+/** The number in 32 bits, or -1 when it does not fit. */
+std::int32_t
+Narrowed(std::int64_t aNumber)
+{
+  const bool fits = aNumber >= std::numeric_limits<std::int32_t>::min() &&
+                    aNumber <= std::numeric_limits<std::int32_t>::max();
+  return fits ? static_cast<std::int32_t>(aNumber) : -1;
+}
+
+}
+
 std::optional<nlohmann::json>
 ParseJsonObject(const std::string& aText)
 {
@@ -32,15 +49,51 @@
            : aDefault;
 }
 
+std::optional<std::int64_t>
+WholeNumber(const nlohmann::json& aValue)
+{
+  if (aValue.is_number_unsigned()) {
+    const auto number = aValue.get<std::uint64_t>();
+    return number <= static_cast<std::uint64_t>(Limits::max())
+             ? std::optional(static_cast<std::int64_t>(number))
+             : std::nullopt;
+  }
+  if (aValue.is_number_integer()) {
+    return aValue.get<std::int64_t>();
+  }
+  if (aValue.is_number_float()) {
+    const auto number = aValue.get<double>();
+    // Both limits are exact as a double; not-a-number compares false.
+    const bool fits = number >= -kTwoToThe63 && number < kTwoToThe63;
+    return fits ? std::optional(static_cast<std::int64_t>(number))
+                : std::nullopt;
+  }
+  return std::nullopt;
+}
+
+std::int32_t
+SmallInteger(const nlohmann::json& aValue)
+{
+  const auto number =
+    aValue.is_number_integer() ? WholeNumber(aValue) : std::nullopt;
+  return Narrowed(number.value_or(-1));
+}
+
 std::int64_t
 IntegerField(const nlohmann::json& aObject,
              const char* aKey,
              std::int64_t aDefault)
 {
   const auto found = aObject.find(aKey);
-  return found != aObject.end() && found->is_number_integer()
-           ? found->get<std::int64_t>()
-           : aDefault;
+  if (found == aObject.end() || !found->is_number()) {
+    return aDefault;
+  }
+  const std::optional<std::int64_t> number = WholeNumber(*found);
+  if (!number) {
+    // The parser reads an integer beyond 64 bits as a floating-point number.
+    return found->get<double>() < 0.0 ? Limits::min() : Limits::max();
+  }
+  return found->is_number_integer() ? *number : aDefault;
 }
 
 std::int32_t
@@ -48,10 +101,7 @@
                   const char* aKey,
                   std::int32_t aDefault)
 {
-  const std::int64_t number = IntegerField(aObject, aKey, aDefault);
-  const bool fits = number >= std::numeric_limits<std::int32_t>::min() &&
-                    number <= std::numeric_limits<std::int32_t>::max();
-  return fits ? static_cast<std::int32_t>(number) : -1;
+  return Narrowed(IntegerField(aObject, aKey, aDefault));
 }
 
 bool
--- a/codecs/json_fields.h
+++ b/codecs/json_fields.h
@@ -23,8 +23,18 @@
           const char* aKey,
           const std::string& aDefault = "");
 
-/** Value of an integer field; the default when it is absent or of another type.
- */
+/** The whole part of a number; empty when the value is no number or does not
+ * fit 64 bits. */
+std::optional<std::int64_t>
+WholeNumber(const nlohmann::json& aValue);
+
+/** An integer that must fit 32 bits; -1, which no list of indexes allows, for
+ * any other value. */
+std::int32_t
+SmallInteger(const nlohmann::json& aValue);
+
+/** Value of an integer field; the default when it is absent or of another type,
+ * and the nearest limit of the type for a number that does not fit 64 bits. */
 std::int64_t
 IntegerField(const nlohmann::json& aObject,
              const char* aKey,
--- a/contracts/job_builder.cpp
+++ b/contracts/job_builder.cpp
@@ -2,10 +2,19 @@
 
 #include "core/reason.h"
 
+#include <chrono>
+#include <string>
 #include <utility>
 
 namespace sardinecourse {
 
+namespace {
+
+/** Expected ends are times on the host's clock, which must hold them. */
+constexpr std::chrono::milliseconds kMaxRunTime = std::chrono::years(50);
+
+}
+
 JobBuilder&
 JobBuilder::Team(TeamName aTeam)
 {
@@ -91,6 +100,13 @@
                      "the declared run time must not be negative");
     return std::nullopt;
   }
+  if (this->value.declaredRunTime > kMaxRunTime) {
+    aReason = Reason(Step::kAdmission,
+                     this->value.key.Text(),
+                     "the declared run time must not exceed " +
+                       std::to_string(kMaxRunTime.count()) + " ms");
+    return std::nullopt;
+  }
   return this->value;
 }
 
--- a/contracts/job_call.h
+++ b/contracts/job_call.h
@@ -31,6 +31,8 @@
   std::string key;
   /** The job to run; empty if the body does not describe a valid job. */
   std::optional<JobPlan> plan;
+  /** Why there is no plan. */
+  std::string planRefusal;
   /** When the caller stops waiting for the answer. */
   Instant deadline{};
 
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -214,8 +214,11 @@
   boost::asio::awaitable<JobReply> Submit(JobCall aCall,
                                           CallContext aCallContext)
   {
-    if (!aCall.plan || aCallContext.job.Empty()) {
-      co_return Refuse(JobReply::Kind::kMalformed, "the body is no job");
+    if (!aCall.plan) {
+      co_return Refuse(JobReply::Kind::kMalformed, aCall.planRefusal);
+    }
+    if (aCallContext.job.Empty()) {
+      co_return Refuse(JobReply::Kind::kMalformed, "no job is named");
     }
     Reason sizeReason;
     if (!HasStorableProgress(
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -49,6 +49,9 @@
   CPPUNIT_TEST(InvalidWorkerEntryIsRefused);
   CPPUNIT_TEST(DecodesJobBody);
   CPPUNIT_TEST(InvalidJobBodyIsRefused);
+  CPPUNIT_TEST(NumbersBeyondTheirRangeAreRefused);
+  CPPUNIT_TEST(NumbersBeyondTheirRangeInReportAreBounded);
+  CPPUNIT_TEST(DeadlineBeyondTheClockIsBounded);
   CPPUNIT_TEST(DecodesWorkerReport);
   CPPUNIT_TEST(ReportWithMostEndsIsTruncated);
   CPPUNIT_TEST(EncodesTransaction);
@@ -185,6 +188,68 @@
     }
   }
 
+  /** A number that did not fit was replaced by another one: the job ran once
+   * instead of 2^32 times, or a step depended on another step. */
+  void NumbersBeyondTheirRangeAreRefused()
+  {
+    const std::vector<std::string> numbers{ "4294967296",
+                                            "9223372036854775808",
+                                            "18446744073709551615",
+                                            "100000000000000000000",
+                                            "1e300",
+                                            "-1e300" };
+    for (const std::string& number : numbers) {
+      for (const char* field :
+           { "Count", "AntiAffinity", "Cpu", "MemMb", "Gpu" }) {
+        this->AssertRefused(R"({"Steps":[{")" + std::string(field) + R"(":)" +
+                            number + "}]}");
+      }
+      this->AssertRefused(R"({"Steps":[{"Count":1},{"DependsOn":[)" + number +
+                          "]}]}");
+      this->AssertRefused(R"({"Repeats":)" + number + R"(,"Steps":[{}]})");
+    }
+    for (const char* number : { "9223372036854775808", "1e300", "-1e300" }) {
+      for (const char* field : { "FirstMs", "IntervalMs" }) {
+        this->AssertRefused(R"({"Repeats":2,")" + std::string(field) + R"(":)" +
+                            number + R"(,"Steps":[{}]})");
+      }
+    }
+  }
+
+  /** Another writer's report must not make a number undefined. */
+  void NumbersBeyondTheirRangeInReportAreBounded()
+  {
+    Reason reason;
+    const auto report = DecodeReport(
+      R"({"ClockMs":1,"born":1e300,"Running":[
+        ["j.0.1.17",1e300,"c",1e300],["j.0.1.18",1,"c",4294967337]],
+        "Ended":[[-1e300,"j.0.1.9",1,"done",""]]})",
+      reason);
+    CPPUNIT_ASSERT(report);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, report->Running().size());
+    for (const RunningTask& running : report->Running()) {
+      CPPUNIT_ASSERT(running.Percent() >= 0 && running.Percent() <= 100);
+    }
+    // Leases are added to the clock, which must not overflow by it.
+    for (const char* clock :
+         { "9223372036854775807", "18446744073709551615" }) {
+      CPPUNIT_ASSERT_MESSAGE(
+        clock,
+        !DecodeReport(R"({"ClockMs":)" + std::string(clock) + "}", reason));
+    }
+  }
+
+  /** The caller's deadline overflowed to a time in the past. */
+  void DeadlineBeyondTheClockIsBounded()
+  {
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/one/0123456789abcdef";
+    request.fields.Add("X-Deadline-Remaining", "9223372036854775807");
+    const Instant now = Clock::now();
+    CPPUNIT_ASSERT(DecodeJobCall(request, now).deadline > now);
+  }
+
   void ReportWithMostEndsIsTruncated()
   {
     for (const int ends : { 499, 500 }) {
@@ -310,6 +375,14 @@
     reply.kind = JobReply::Kind::kNotKnown;
     CPPUNIT_ASSERT_EQUAL(504, EncodeJobReply(reply).status);
   }
+
+private:
+  static void AssertRefused(const std::string& aBody)
+  {
+    Reason reason;
+    CPPUNIT_ASSERT_MESSAGE(aBody, !DecodeJobBody(aBody, reason));
+    CPPUNIT_ASSERT_MESSAGE(aBody, !reason.Message().empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformCodecsTest);
