Keep units only for the open work of a job

The holder exceeded its memory limit, was killed, and so was each host that took over and loaded the jobs. Small jobs that came later never ran.

Cause: TrackedJob made a TaskUnit of about 236 bytes for each task of each occurrence when a job was loaded, and passes went over all of them. The bound of 20,000 units is one for a job; nothing bounded all jobs.

Change: a job keeps one mark for each unit up to the last started one, and objects for the units with open work only; a unit that ends without open work goes back to its mark in the next pass. Passes, the monitor and reclaims visit open units. Units that wait are collected from the first unfinished occurrence to the first that is not due, at most 100 occurrences of a step in a pass.

--- a/tests/model/idle_wait_check.cpp
+++ b/tests/model/idle_wait_check.cpp
@@ -70,15 +70,17 @@
 
 /** The job's first unit that could start; null when there is none. */
 const TaskUnit*
-IdleWaitCheck::FindWaiting(const TrackedJob& aJob,
-                           const FleetModel& aFleet) const
+IdleWaitCheck::FindWaiting(TrackedJob& aJob, const FleetModel& aFleet) const
 {
-  const auto found = std::find_if(
-    aJob.Units().begin(), aJob.Units().end(), [&](const TaskUnit& aUnit) {
-      return !aUnit.Done() && aJob.AreDependenciesDone(aUnit) &&
-             this->HasRoomTwice(aJob, aUnit, aFleet);
-    });
-  return found == aJob.Units().end() ? nullptr : &*found;
+  for (std::int32_t number = 0; number < aJob.UnitCount(); ++number) {
+    const TaskUnit& unit = aJob.Open(number);
+    if (!unit.Done() &&
+        aJob.AreDependenciesDone(unit.Occurrence(), unit.Step()) &&
+        this->HasRoomTwice(aJob, unit, aFleet)) {
+      return &unit;
+    }
+  }
+  return nullptr;
 }
 
 void
@@ -90,7 +92,7 @@
   const Resources used = UsedOn(aFleet);
   const Resources total = this->TotalOf(aFleet);
   const bool isHalfFree = 2.0 * CoreEquivalents(used) < CoreEquivalents(total);
-  for (const auto& [key, job] : aDomain.Jobs()) {
+  for (auto& [key, job] : aDomain.Jobs()) {
     const TaskUnit* waiting = this->FindWaiting(job, aFleet);
     const bool isIdle =
       isHalfFree && !job.Final() && !aFleet.HasRuns(key) && waiting != nullptr;
--- a/tests/model/idle_wait_check.h
+++ b/tests/model/idle_wait_check.h
@@ -32,8 +32,7 @@
 private:
   static Resources UsedOn(const FleetModel& aFleet);
   Resources TotalOf(const FleetModel& aFleet) const;
-  const TaskUnit* FindWaiting(const TrackedJob& aJob,
-                              const FleetModel& aFleet) const;
+  const TaskUnit* FindWaiting(TrackedJob& aJob, const FleetModel& aFleet) const;
   bool HasRoomTwice(const TrackedJob& aJob,
                     const TaskUnit& aUnit,
                     const FleetModel& aFleet) const;
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -167,7 +167,7 @@
     world.PollAll();
     world.Pass({});
     const auto& members =
-      world.Domain().FindJob(JobKey("tight"))->Units().front().Members();
+      world.Domain().FindJob(JobKey("tight"))->Open(0).Members();
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, members.size());
     CPPUNIT_ASSERT_EQUAL(RackOf(world, members[0].worker),
                          RackOf(world, members[1].worker));
@@ -528,16 +528,8 @@
     world.Submit(MakeAdmitted("urgent", 0, { step(2) }), kLong.count(), false);
     world.Pass({}); // The first task takes the free resources.
     world.Pass({});
-    for (const TaskUnit& unit :
-         world.Domain().FindJob(JobKey("a-old"))->Units()) {
-      CPPUNIT_ASSERT(!unit.Abandoned());
-    }
-    const auto& youngUnits = world.Domain().FindJob(JobKey("b-young"))->Units();
-    CPPUNIT_ASSERT_EQUAL(
-      std::ptrdiff_t{ 1 },
-      std::count_if(youngUnits.begin(),
-                    youngUnits.end(),
-                    [](const TaskUnit& aUnit) { return aUnit.Abandoned(); }));
+    CPPUNIT_ASSERT_EQUAL(0, AbandonedUnits(world, "a-old"));
+    CPPUNIT_ASSERT_EQUAL(1, AbandonedUnits(world, "b-young"));
   }
 
   /** Found by DomainFuzzTest: the holder acknowledged an end with a number from
@@ -830,6 +822,16 @@
     return aWorld.site.workers.at(aWorker.Text()).rack;
   }
 
+  static int AbandonedUnits(DomainWorld& aWorld, const std::string& aJob)
+  {
+    TrackedJob& job = *aWorld.Domain().FindJob(JobKey(aJob));
+    int abandoned = 0;
+    for (std::int32_t number = 0; number < job.UnitCount(); ++number) {
+      abandoned += job.Open(number).Abandoned() ? 1 : 0;
+    }
+    return abandoned;
+  }
+
   static bool StartsWithin(DomainWorld& aWorld,
                            const std::string& aJob,
                            std::int64_t aMs)
@@ -838,8 +840,7 @@
     for (std::int64_t passed = 0; passed < aMs; passed += kPassIntervalMs) {
       aWorld.PollAll();
       aWorld.Pass({});
-      const TaskUnit& unit =
-        aWorld.Domain().FindJob(JobKey(aJob))->Units().front();
+      const TaskUnit& unit = aWorld.Domain().FindJob(JobKey(aJob))->Open(0);
       if (unit.AllRunning()) {
         return true;
       }
--- a/tests/scheduling/domain_term_test.cpp
+++ b/tests/scheduling/domain_term_test.cpp
@@ -75,8 +75,8 @@
         Clock::now());
       TrackedJob& job = *term->Domain().FindJob(kJob);
       OrderSender<Term> sender(*term);
-      sender.Stage(term->Domain().StartRun(
-        job, job.Units()[0], { kWorker }, Clock::now()));
+      sender.Stage(
+        term->Domain().StartRun(job, job.Open(0), { kWorker }, Clock::now()));
       job.MarkStored(job.Version(), kTermRevision);
       this->exclusiveUntil =
         Clock::now() + (isExpired ? Milliseconds(-1) : Milliseconds(5000));
--- a/tests/scheduling/progress_batch_test.cpp
+++ b/tests/scheduling/progress_batch_test.cpp
@@ -45,7 +45,7 @@
                         kRevision,
                         Instant());
     TrackedJob& job = *this->domain.FindJob(kJob);
-    this->domain.StartRun(job, job.Units()[0], { WorkerName("w0") }, Instant());
+    this->domain.StartRun(job, job.Open(0), { WorkerName("w0") }, Instant());
   }
 
   void OnlyConfirmedCommitMarksJobStored()
--- a/tests/scheduling/progress_writer_test.cpp
+++ b/tests/scheduling/progress_writer_test.cpp
@@ -129,7 +129,8 @@
     this->Add(kSmallJob, QuarterStep(1), 3);
     this->StartAll(kWideJob);
     TrackedJob& wide = this->Job(kWideJob);
-    for (TaskUnit& unit : wide.Units()) {
+    for (std::int32_t number = 0; number < wide.UnitCount(); ++number) {
+      TaskUnit& unit = wide.Open(number);
       MemberRun* member = unit.Find(unit.First(), unit.Run());
       unit.UpdateProgress(*member, 1, std::string(1024, 'c'), Clock::now());
     }
@@ -191,10 +192,9 @@
   void StartAll(const JobKey& aKey)
   {
     TrackedJob& job = this->Job(aKey);
-    std::int64_t index = 0;
-    for (TaskUnit& unit : job.Units()) {
+    for (std::int32_t number = 0; number < job.UnitCount(); ++number) {
       this->term->Domain().StartRun(
-        job, unit, { WorkerOf(index++) }, Clock::now());
+        job, job.Open(number), { WorkerOf(number) }, Clock::now());
     }
   }
 
@@ -203,9 +203,11 @@
     for (int run = 0; run < aRuns; ++run) {
       this->StartAll(aKey);
       TrackedJob& job = this->Job(aKey);
-      for (TaskUnit& unit : job.Units()) {
+      for (std::int32_t number = 0; number < job.UnitCount(); ++number) {
+        TaskUnit& unit = job.Open(number);
         this->term->Domain().MarkMemberGone(job, unit, unit.First());
-        unit.RecordEnd(unit.Run(), RunOutcome::kFailed, "0123456789abcdef");
+        job.RecordEnd(
+          unit, unit.Run(), RunOutcome::kFailed, "0123456789abcdef");
       }
       job.MarkDirty();
     }
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -36,6 +36,10 @@
  * from its rack takes room from them. Without an arrival for this time, room is
  * not kept for work to come. */
 constexpr Milliseconds kQuietTime{ 5000 };
+/** Max occurrences of a step that a pass considers, which bounds the memory of
+ * the pass and of the units that wait. Later passes consider the others, once
+ * these have started. */
+constexpr std::int32_t kMaxGroupsOfStep = 100;
 /** Longest wait that is computed from an estimate, in ms; about 30 years. */
 constexpr double kMaxWaitMilliseconds = 1e12;
 
@@ -91,7 +95,8 @@
   for (const JobKey& key : this->domain->Active()) {
     TrackedJob& job = *this->domain->FindJob(key);
     bool isIdle = true;
-    for (TaskUnit& unit : job.Units()) {
+    job.ReleaseUnits();
+    for (auto& [number, unit] : job.OpenUnits()) {
       if (unit.Idle()) {
         continue;
       }
@@ -139,14 +144,11 @@
 }
 
 bool
-DomainPass::IsDue(const TrackedJob& aJob, const TaskUnit& aUnit) const
+DomainPass::IsDue(const TrackedJob& aJob, std::int32_t aOccurrence) const
 {
-  if (!aJob.AreDependenciesDone(aUnit)) {
-    return false;
-  }
   const JobPlan& plan = aJob.Job().Plan();
   return !plan.IsTimed() ||
-         this->wallTime >= plan.DueOf(aUnit.Occurrence()) + kDueMargin;
+         this->wallTime >= plan.DueOf(aOccurrence) + kDueMargin;
 }
 
 std::vector<WaitingGroup>
@@ -167,50 +169,84 @@
 DomainPass::CollectWaiting(const TrackedJob& aJob,
                            std::vector<WaitingGroup>& aGroups) const
 {
-  const TaskUnit* previous = nullptr;
-  bool isDue = false;
-  bool hasGroup = false;
-  std::int64_t openTasksLeft = kMaxOpenTasks - aJob.OpenTasks();
-  for (std::size_t index = 0; index < aJob.Units().size(); ++index) {
-    const TaskUnit& unit = aJob.Units()[index];
-    if (unit.Done() || !unit.Idle()) {
-      continue;
+  const JobPlan& plan = aJob.Job().Plan();
+  const auto stepCount = static_cast<std::int32_t>(plan.Steps().size());
+  std::int64_t newTasksLeft = kMaxOpenTasks - aJob.OpenTasks();
+  std::vector<std::int32_t> groupsOfStep(plan.Steps().size(), 0);
+  std::int32_t fullSteps = 0;
+  for (std::int32_t occurrence =
+         aJob.FirstUnfinished() / aJob.UnitsPerOccurrence();
+       occurrence < plan.Occurrences() && fullSteps < stepCount;
+       ++occurrence) {
+    if (!this->IsDue(aJob, occurrence)) {
+      if (plan.Interval() < Milliseconds(0)) {
+        continue;
+      }
+      break; // Later occurrences are due later.
     }
-    const bool isSameStep = previous != nullptr &&
-                            previous->Occurrence() == unit.Occurrence() &&
-                            previous->Step() == unit.Step();
-    previous = &unit;
-    if (!isSameStep) {
-      isDue = this->IsDue(aJob, unit);
-      hasGroup = false;
+    for (std::int32_t step = 0; step < stepCount; ++step) {
+      if (groupsOfStep[step] >= kMaxGroupsOfStep ||
+          !aJob.AreDependenciesDone(occurrence, step)) {
+        continue;
+      }
+      const std::int64_t maxNewTasks = newTasksLeft;
+      const std::vector<std::int32_t> units =
+        WaitingUnits(aJob, occurrence, step, newTasksLeft);
+      if (!units.empty()) {
+        fullSteps += ++groupsOfStep[step] >= kMaxGroupsOfStep ? 1 : 0;
+        aGroups.push_back(WaitingGroup{ aJob.Job().Priority(),
+                                        aJob.Job().Admitted(),
+                                        aJob.Job().Key(),
+                                        units.front(),
+                                        occurrence,
+                                        step,
+                                        maxNewTasks });
+      }
     }
-    if (!isDue) {
+  }
+}
+
+std::vector<std::int32_t>
+DomainPass::WaitingUnits(const TrackedJob& aJob,
+                         std::int32_t aOccurrence,
+                         std::int32_t aStep,
+                         std::int64_t& aNewTasksLeft)
+{
+  const JobStep& step = aJob.Job().Plan().Steps()[aStep];
+  const std::int64_t tasks = step.IsGang() ? step.Count() : 1;
+  const std::int32_t first = aJob.FirstUnitOf(aOccurrence, aStep);
+  const std::int32_t end = first + aJob.UnitsOf(aStep);
+  auto open = aJob.OpenUnits().lower_bound(first);
+  std::vector<std::int32_t> units;
+  for (std::int32_t number = first; number < end; ++number) {
+    const bool isOpen = open != aJob.OpenUnits().end() && open->first == number;
+    const TaskUnit* unit = isOpen ? &(open++)->second : nullptr;
+    if (aJob.IsDone(number) || (unit != nullptr && !unit->Idle())) {
       continue;
     }
-    if (!unit.IsOpen()) {
-      if (unit.Count() > openTasksLeft) {
+    if (unit == nullptr || !unit->IsOpen()) {
+      if (tasks > aNewTasksLeft) {
         continue;
       }
-      openTasksLeft -= unit.Count();
-    }
-    if (!std::exchange(hasGroup, true)) {
-      aGroups.push_back(
-        WaitingGroup{ aJob.Job().Priority(), aJob.Job().Admitted(), {} });
+      aNewTasksLeft -= tasks;
     }
-    aGroups.back().units.push_back(UnitRef{ aJob.Job().Key(), index });
+    units.push_back(number);
   }
+  return units;
 }
 
 void
 DomainPass::Serve(const WaitingGroup& aGroup)
 {
-  TrackedJob& job = *this->domain->FindJob(aGroup.units.front().job);
-  TaskUnit& unit = job.Units()[aGroup.units.front().unit];
+  TrackedJob& job = *this->domain->FindJob(aGroup.job);
+  const UnitRef first{ aGroup.job, aGroup.firstUnit };
+  TaskUnit& unit = job.Open(first.unit);
   if (job.StepOf(unit).IsGang()) {
-    this->ServeGang(job, unit, aGroup.units.front());
+    this->ServeGang(job, unit, first);
   } else {
     this->ServeTasks(job, aGroup);
   }
+  job.Release(first.unit);
 }
 
 void
@@ -233,20 +269,23 @@
 void
 DomainPass::ServeTasks(TrackedJob& aJob, const WaitingGroup& aGroup)
 {
-  TaskUnit& first = aJob.Units()[aGroup.units.front().unit];
+  const UnitRef firstRef{ aGroup.job, aGroup.firstUnit };
+  TaskUnit& first = aJob.Open(firstRef.unit);
   const JobStep& step = aJob.StepOf(first);
-  const bool isOverdue =
-    this->IsOverdueInAmpleRoom(aJob, first, aGroup.units.front());
+  const bool isOverdue = this->IsOverdueInAmpleRoom(aJob, first, firstRef);
+  std::int64_t newTasksLeft = aGroup.maxNewTasks;
+  const std::vector<std::int32_t> units =
+    WaitingUnits(aJob, aGroup.occurrence, aGroup.step, newTasksLeft);
   // An overdue job gets one task started; the others go on waiting.
   const std::int32_t limit =
     std::max(this->MaxTasksWithinHeadroom(aJob, step), isOverdue ? 1 : 0);
   const std::int32_t count =
-    std::min(static_cast<std::int32_t>(aGroup.units.size()), limit);
+    std::min(static_cast<std::int32_t>(units.size()), limit);
   if (count < 1) {
     return;
   }
   const std::vector<CandidateWorker>& workers =
-    this->view.CandidatesFor(aJob, first, aGroup.units.front());
+    this->view.CandidatesFor(aJob, first, firstRef);
   std::vector<WorkerName> places =
     FindSomePlaces(workers, MakePlacementRequest(step, count, true));
   if (places.empty() && !step.DataRack().Empty() &&
@@ -256,11 +295,11 @@
     places = FindSomePlaces(workers, MakePlacementRequest(step, 1, false));
   }
   for (std::size_t position = 0; position < places.size(); ++position) {
-    TaskUnit& unit = aJob.Units()[aGroup.units[position].unit];
+    TaskUnit& unit = aJob.Open(units[position]);
     this->Start(aJob, unit, { places[position] });
   }
   if (places.empty()) {
-    this->reclaim.ReclaimFor(aJob, first, aGroup.units.front());
+    this->reclaim.ReclaimFor(aJob, first, firstRef);
   }
 }
 
@@ -341,9 +380,8 @@
   const bool isOffDataRack =
     !step.DataRack().Empty() && !racks.contains(step.DataRack());
   aUnit.SetRemote(isOffDataRack || (step.PrefersOneRack() && racks.size() > 1));
-  const auto index = static_cast<std::size_t>(&aUnit - aJob.Units().data());
   this->decisions.placed.push_back(
-    PlacedUnit{ UnitRef{ aJob.Job().Key(), index },
+    PlacedUnit{ UnitRef{ aJob.Job().Key(), aJob.NumberOf(aUnit) },
                 aUnit.Run(),
                 aUnit.Count(),
                 static_cast<std::int32_t>(racks.size()),
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -42,9 +42,16 @@
   std::vector<WaitingGroup> WaitingGroups() const;
   void CollectWaiting(const TrackedJob& aJob,
                       std::vector<WaitingGroup>& aGroups) const;
-  /** Whether the steps before the unit's step are done and its occurrence is
-   * due. The same for all units of a step's occurrence. */
-  bool IsDue(const TrackedJob& aJob, const TaskUnit& aUnit) const;
+  /** Whether an occurrence of the job is due. */
+  bool IsDue(const TrackedJob& aJob, std::int32_t aOccurrence) const;
+  /** Numbers of the units of one step in one occurrence that wait for
+   * placement. Subtracts the tasks of those that were never placed from
+   * aNewTasksLeft, the number of tasks that may be placed for the first time.
+   */
+  static std::vector<std::int32_t> WaitingUnits(const TrackedJob& aJob,
+                                                std::int32_t aOccurrence,
+                                                std::int32_t aStep,
+                                                std::int64_t& aNewTasksLeft);
   void Serve(const WaitingGroup& aGroup);
   void ServeGang(TrackedJob& aJob, TaskUnit& aUnit, const UnitRef& aRef);
   void ServeTasks(TrackedJob& aJob, const WaitingGroup& aGroup);
--- a/zones/domain_reclaim.cpp
+++ b/zones/domain_reclaim.cpp
@@ -75,10 +75,10 @@
     if (job.Job().Priority() <= aJob.Job().Priority()) {
       continue;
     }
-    for (std::size_t unit = 0; unit < job.Units().size(); ++unit) {
-      if (!job.Units()[unit].Idle()) {
-        runs.push_back(this->PreemptibleRunOf(job, job.Units()[unit]));
-        aUnits.push_back(UnitRef{ key, unit });
+    for (const auto& [number, unit] : job.OpenUnits()) {
+      if (!unit.Idle()) {
+        runs.push_back(this->PreemptibleRunOf(job, unit));
+        aUnits.push_back(UnitRef{ key, number });
       }
     }
   }
@@ -90,7 +90,7 @@
                        const UnitRef& aInFavourOf,
                        double aLostWork)
 {
-  TaskUnit& unit = this->domain->FindJob(aUnit.job)->Units()[aUnit.unit];
+  TaskUnit& unit = this->domain->FindJob(aUnit.job)->Open(aUnit.unit);
   if (aLostWork > 0.0) {
     this->preempted.push_back(
       PreemptedUnit{ aUnit, unit.Run(), aInFavourOf, aLostWork });
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -61,7 +61,7 @@
   }
   job.MarkStored(0, aRevision);
   this->active.insert(key);
-  for (const TaskUnit& unit : job.Units()) {
+  for (const auto& [number, unit] : job.OpenUnits()) {
     for (const MemberRun& member : unit.Members()) {
       if (TrackedWorker* worker = this->FindWorker(member.worker)) {
         this->AllocateResources(job, unit, *worker);
@@ -141,7 +141,7 @@
   }
   for (const JobKey& key : this->active) {
     const TrackedJob& job = this->jobs.at(key);
-    for (const TaskUnit& unit : job.Units()) {
+    for (const auto& [number, unit] : job.OpenUnits()) {
       this->AllocateResources(job, unit, position->second);
     }
   }
@@ -285,7 +285,7 @@
     this->NoteRunTime(*job, *unit, aNow);
   }
   if (!job->Final() &&
-      unit->RecordEnd(aEnd.Run(), aEnd.Outcome(), aEnd.Saved())) {
+      job->RecordEnd(*unit, aEnd.Run(), aEnd.Outcome(), aEnd.Saved())) {
     job->MarkDirty();
     job->UpdateState(aNow);
   }
--- a/zones/run_monitor.cpp
+++ b/zones/run_monitor.cpp
@@ -54,7 +54,7 @@
   };
   for (const JobKey& key : this->domain->Active()) {
     TrackedJob& job = *this->domain->FindJob(key);
-    for (TaskUnit& unit : job.Units()) {
+    for (auto& [number, unit] : job.OpenUnits()) {
       std::int32_t index = unit.First();
       for (const MemberRun& member : unit.Members()) {
         if (member.phase != MemberPhase::kGone &&
@@ -87,7 +87,7 @@
     if (!typical || job.Final()) {
       continue;
     }
-    for (TaskUnit& unit : job.Units()) {
+    for (auto& [number, unit] : job.OpenUnits()) {
       if (!unit.Idle() && unit.AllRunningSince() && !unit.Abandoned() &&
           !unit.Done() && !job.StepOf(unit).IsEndless()) {
         this->CheckProgressOf(unit, *typical);
--- a/zones/task_unit.cpp
+++ b/zones/task_unit.cpp
@@ -38,6 +38,15 @@
     });
 }
 
+bool
+TaskUnit::HasOpenWork() const
+{
+  const bool isWaiting = this->reclaimTried || this->ampleRoomSince;
+  return !this->Idle() || (!this->done && (this->run > 0 || isWaiting ||
+                                           !this->failedRuns.empty() ||
+                                           !this->checkpoint.empty()));
+}
+
 bool
 TaskUnit::AllRunning() const
 {
--- a/zones/task_unit.h
+++ b/zones/task_unit.h
@@ -42,6 +42,8 @@
   /** Whether the unit was placed and is not done; its stored progress then
    * lists the latest run. */
   bool IsOpen() const { return this->run > 0 && !this->done; }
+  /** Whether the unit has more state than its stored mark. */
+  bool HasOpenWork() const;
   /** Whether any run of the unit was confirmed by a worker. */
   bool EverStarted() const { return this->everStarted; }
   /** Whether the run was given up; its members are being stopped. */
--- a/zones/tracked_job.cpp
+++ b/zones/tracked_job.cpp
@@ -5,7 +5,6 @@
 #include "core/reason.h"
 
 #include <algorithm>
-#include <numeric>
 #include <set>
 #include <utility>
 
@@ -34,29 +33,9 @@
   : job(std::move(aJob))
   , firstSeen(aFirstSeen)
 {
-  const std::vector<JobStep>& steps = this->job.Plan().Steps();
-  for (std::int32_t occurrence = 0; occurrence < this->job.Plan().Occurrences();
-       ++occurrence) {
-    for (std::int32_t step = 0; step < static_cast<std::int32_t>(steps.size());
-         ++step) {
-      const std::int32_t count = steps[step].Count();
-      if (occurrence == 0) {
-        this->firstUnits.push_back(
-          static_cast<std::int32_t>(this->units.size()));
-      }
-      if (steps[step].IsGang()) {
-        this->units.emplace_back(
-          occurrence, step, 0, count, !steps[step].IsEndless());
-        continue;
-      }
-      for (std::int32_t index = 0; index < count; ++index) {
-        this->units.emplace_back(
-          occurrence, step, index, 1, !steps[step].IsEndless());
-      }
-    }
-    if (occurrence == 0) {
-      this->unitsPerOccurrence = static_cast<std::int32_t>(this->units.size());
-    }
+  for (const JobStep& step : this->job.Plan().Steps()) {
+    this->firstUnits.push_back(this->unitsPerOccurrence);
+    this->unitsPerOccurrence += step.IsGang() ? 1 : step.Count();
   }
 }
 
@@ -66,6 +45,113 @@
   return this->job.Plan().Steps()[aUnit.Step()];
 }
 
+std::int32_t
+TrackedJob::UnitCount() const
+{
+  // The plan's builder bounds the product.
+  return this->unitsPerOccurrence * this->job.Plan().Occurrences();
+}
+
+std::int32_t
+TrackedJob::FirstUnitOf(std::int32_t aOccurrence, std::int32_t aStep) const
+{
+  return aOccurrence * this->unitsPerOccurrence + this->firstUnits[aStep];
+}
+
+std::int32_t
+TrackedJob::UnitsOf(std::int32_t aStep) const
+{
+  const JobStep& step = this->job.Plan().Steps()[aStep];
+  return step.IsGang() ? 1 : step.Count();
+}
+
+std::int32_t
+TrackedJob::NumberOf(const TaskUnit& aUnit) const
+{
+  return this->FirstUnitOf(aUnit.Occurrence(), aUnit.Step()) + aUnit.First();
+}
+
+char
+TrackedJob::MarkOf(std::int32_t aUnit) const
+{
+  return aUnit < static_cast<std::int32_t>(this->marks.size())
+           ? this->marks[aUnit]
+           : JobProgress::kNeverStarted;
+}
+
+void
+TrackedJob::SetMark(std::int32_t aUnit, char aMark)
+{
+  if (this->MarkOf(aUnit) == aMark) {
+    return;
+  }
+  if (aUnit >= static_cast<std::int32_t>(this->marks.size())) {
+    this->marks.resize(aUnit + 1, JobProgress::kNeverStarted);
+  }
+  this->marks[aUnit] = aMark;
+  this->hasMarkedStart = true;
+  this->doneUnits += aMark == JobProgress::kDone ? 1 : 0;
+  while (this->firstUnfinished < this->UnitCount() &&
+         this->IsDone(this->firstUnfinished)) {
+    ++this->firstUnfinished;
+  }
+}
+
+bool
+TrackedJob::IsDone(std::int32_t aUnit) const
+{
+  return this->MarkOf(aUnit) == JobProgress::kDone;
+}
+
+TaskUnit
+TrackedJob::MakeUnit(std::int32_t aUnit) const
+{
+  const std::int32_t position = aUnit % this->unitsPerOccurrence;
+  const auto next = std::upper_bound(
+    this->firstUnits.begin(), this->firstUnits.end(), position);
+  const auto step =
+    static_cast<std::int32_t>(next - this->firstUnits.begin()) - 1;
+  const JobStep& steps = this->job.Plan().Steps()[step];
+  TaskUnit unit(aUnit / this->unitsPerOccurrence,
+                step,
+                steps.IsGang() ? 0 : position - this->firstUnits[step],
+                steps.IsGang() ? steps.Count() : 1,
+                !steps.IsEndless());
+  unit.Restore(this->MarkOf(aUnit), {});
+  return unit;
+}
+
+TaskUnit&
+TrackedJob::Open(std::int32_t aUnit)
+{
+  const auto found = this->openUnits.lower_bound(aUnit);
+  if (found != this->openUnits.end() && found->first == aUnit) {
+    return found->second;
+  }
+  return this->openUnits.emplace_hint(found, aUnit, this->MakeUnit(aUnit))
+    ->second;
+}
+
+void
+TrackedJob::Release(std::int32_t aUnit)
+{
+  const auto found = this->openUnits.find(aUnit);
+  if (found != this->openUnits.end() && !found->second.HasOpenWork()) {
+    this->SetMark(aUnit, found->second.StoredMark());
+    this->openUnits.erase(found);
+  }
+}
+
+void
+TrackedJob::ReleaseUnits()
+{
+  for (auto unit = this->openUnits.begin(); unit != this->openUnits.end();) {
+    const std::int32_t number = unit->first;
+    ++unit;
+    this->Release(number);
+  }
+}
+
 TaskUnit*
 TrackedJob::Find(const TaskAddress& aTask)
 {
@@ -77,82 +163,82 @@
     return nullptr;
   }
   const std::int32_t offset = steps[aTask.Step()].IsGang() ? 0 : aTask.Index();
-  return &this->units[aTask.Occurrence() * this->unitsPerOccurrence +
-                      this->firstUnits[aTask.Step()] + offset];
-}
-
-bool
-TrackedJob::StepDone(std::int32_t aOccurrence, std::int32_t aStep) const
-{
-  const std::ptrdiff_t offset =
-    static_cast<std::ptrdiff_t>(aOccurrence) * this->unitsPerOccurrence +
-    this->firstUnits[aStep];
-  const auto first = this->units.begin() + offset;
-  const JobStep& step = this->job.Plan().Steps()[aStep];
-  return std::all_of(first,
-                     first + (step.IsGang() ? 1 : step.Count()),
-                     [](const TaskUnit& aUnit) { return aUnit.Done(); });
+  return &this->Open(this->FirstUnitOf(aTask.Occurrence(), aTask.Step()) +
+                     offset);
 }
 
 bool
-TrackedJob::AreDependenciesDone(const TaskUnit& aUnit) const
+TrackedJob::AreDependenciesDone(std::int32_t aOccurrence,
+                                std::int32_t aStep) const
 {
-  const std::vector<std::int32_t>& dependencies = this->StepOf(aUnit).After();
-  return std::all_of(dependencies.begin(),
-                     dependencies.end(),
-                     [this, &aUnit](std::int32_t aStep) {
-                       return this->StepDone(aUnit.Occurrence(), aStep);
-                     });
+  const std::vector<std::int32_t>& dependencies =
+    this->job.Plan().Steps()[aStep].After();
+  return std::all_of(
+    dependencies.begin(),
+    dependencies.end(),
+    [this, aOccurrence](std::int32_t aDependency) {
+      const std::int32_t first = this->FirstUnitOf(aOccurrence, aDependency);
+      const std::int32_t end = first + this->UnitsOf(aDependency);
+      std::int32_t unit = std::max(first, this->firstUnfinished);
+      while (unit < end && this->IsDone(unit)) {
+        ++unit;
+      }
+      return unit >= end;
+    });
 }
 
 bool
 TrackedJob::HasStarted() const
 {
-  return std::any_of(this->units.begin(),
-                     this->units.end(),
-                     [](const TaskUnit& aUnit) { return aUnit.EverStarted(); });
+  return this->hasMarkedStart ||
+         std::any_of(
+           this->openUnits.begin(),
+           this->openUnits.end(),
+           [](const auto& aUnit) { return aUnit.second.EverStarted(); });
 }
 
 std::int64_t
 TrackedJob::OpenTasks() const
 {
-  return std::accumulate(this->units.begin(),
-                         this->units.end(),
-                         std::int64_t{ 0 },
-                         [](std::int64_t aTasks, const TaskUnit& aUnit) {
-                           return aTasks + (aUnit.IsOpen() ? aUnit.Count() : 0);
-                         });
+  std::int64_t tasks = 0;
+  for (const auto& [number, unit] : this->openUnits) {
+    tasks += unit.IsOpen() ? unit.Count() : 0;
+  }
+  return tasks;
 }
 
 bool
 TrackedJob::Idle() const
 {
-  return std::all_of(this->units.begin(),
-                     this->units.end(),
-                     [](const TaskUnit& aUnit) { return aUnit.Idle(); });
+  return std::all_of(this->openUnits.begin(),
+                     this->openUnits.end(),
+                     [](const auto& aUnit) { return aUnit.second.Idle(); });
 }
 
 void
 TrackedJob::Restore(const JobProgress& aProgress)
 {
-  std::vector<std::set<std::int64_t>> failed(this->units.size());
+  const std::int32_t count = this->UnitCount();
+  const auto markCount =
+    std::min(static_cast<std::size_t>(count), aProgress.Marks().size());
+  for (std::size_t unit = 0; unit < markCount; ++unit) {
+    this->SetMark(static_cast<std::int32_t>(unit), aProgress.Marks()[unit]);
+  }
+  const auto isUnfinished = [this, count](std::int32_t aUnit) {
+    return aUnit >= 0 && aUnit < count && !this->IsDone(aUnit);
+  };
+  std::map<std::int32_t, std::set<std::int64_t>> failed;
   for (const FailedRun& run : aProgress.FailedRuns()) {
-    if (run.unit >= 0 && run.unit < static_cast<std::int32_t>(failed.size())) {
+    if (isUnfinished(run.unit)) {
       failed[run.unit].insert(run.run);
     }
   }
-  for (std::size_t unit = 0; unit < this->units.size(); ++unit) {
-    const char mark = unit < aProgress.Marks().size()
-                        ? aProgress.Marks()[unit]
-                        : JobProgress::kNeverStarted;
-    this->units[unit].Restore(mark, std::move(failed[unit]));
+  for (auto& [unit, runs] : failed) {
+    this->Open(unit).Restore(this->MarkOf(unit), std::move(runs));
   }
   for (const UnitPlacement& placement : aProgress.Placements()) {
-    const bool exists =
-      placement.unit >= 0 &&
-      placement.unit < static_cast<std::int32_t>(this->units.size());
-    if (exists && !this->units[placement.unit].Done()) {
-      this->units[placement.unit].Inherit(placement, this->firstSeen);
+    if (isUnfinished(placement.unit)) {
+      this->Open(placement.unit).Inherit(placement, this->firstSeen);
     }
   }
   this->state = aProgress.State();
@@ -162,52 +248,81 @@
   this->finalSince = this->firstSeen;
 }
 
+/** Marks of all units up to the last one that was started. */
+std::string
+TrackedJob::Marks() const
+{
+  std::string current = this->marks;
+  for (const auto& [number, unit] : this->openUnits) {
+    const char mark = unit.StoredMark();
+    if (mark == JobProgress::kNeverStarted) {
+      continue;
+    }
+    if (number >= static_cast<std::int32_t>(current.size())) {
+      current.resize(number + 1, JobProgress::kNeverStarted);
+    }
+    current[number] = mark;
+  }
+  return current;
+}
+
 JobProgress
 TrackedJob::Progress() const
 {
-  std::string marks;
   std::vector<FailedRun> failed;
   std::vector<UnitPlacement> placements;
-  for (std::size_t unit = 0; unit < this->units.size(); ++unit) {
-    marks.push_back(this->units[unit].StoredMark());
-    for (const std::int64_t run : this->units[unit].FailedRuns()) {
-      failed.push_back(FailedRun{ static_cast<std::int32_t>(unit), run });
+  for (const auto& [number, unit] : this->openUnits) {
+    if (unit.Done()) {
+      continue;
     }
-    if (this->units[unit].IsOpen()) {
-      placements.push_back(
-        PlacementOf(this->units[unit], static_cast<std::int32_t>(unit)));
+    for (const std::int64_t run : unit.FailedRuns()) {
+      failed.push_back(FailedRun{ number, run });
+    }
+    if (unit.IsOpen()) {
+      placements.push_back(PlacementOf(unit, number));
     }
-  }
-  if (!this->HasStarted()) {
-    marks.clear();
   }
   Reason ignored; // Only the queue is checked, and it is set.
   return JobProgressBuilder()
     .Queue(this->job.Queue())
     .Address(this->job.Address())
     .State(this->state)
-    .Marks(std::move(marks))
+    .Marks(this->Marks())
     .FailedRuns(std::move(failed))
     .Placements(std::move(placements))
     .Build(ignored)
     .value_or(JobProgress());
 }
 
+bool
+TrackedJob::RecordEnd(TaskUnit& aUnit,
+                      std::int64_t aRun,
+                      RunOutcome aOutcome,
+                      const std::string& aSaved)
+{
+  const bool isChanged = aUnit.RecordEnd(aRun, aOutcome, aSaved);
+  if (aUnit.Done()) {
+    this->SetMark(this->NumberOf(aUnit), JobProgress::kDone);
+  }
+  return isChanged;
+}
+
 void
 TrackedJob::UpdateState(Instant aNow)
 {
   if (this->Final()) {
     return;
   }
-  const auto hasNoAttemptsLeft = [this](const TaskUnit& aUnit) {
-    return !aUnit.Done() && !this->StepOf(aUnit).IsEndless() &&
-           static_cast<std::int32_t>(aUnit.FailedRuns().size()) >=
+  const auto hasNoAttemptsLeft = [this](const auto& aUnit) {
+    const TaskUnit& unit = aUnit.second;
+    return !unit.Done() && !this->StepOf(unit).IsEndless() &&
+           static_cast<std::int32_t>(unit.FailedRuns().size()) >=
              this->job.MaxAttempts();
   };
-  const auto isDone = [](const TaskUnit& aUnit) { return aUnit.Done(); };
-  if (std::any_of(this->units.begin(), this->units.end(), hasNoAttemptsLeft)) {
+  if (std::any_of(
+        this->openUnits.begin(), this->openUnits.end(), hasNoAttemptsLeft)) {
     this->SetFinal(JobState::kFailed, aNow);
-  } else if (std::all_of(this->units.begin(), this->units.end(), isDone)) {
+  } else if (this->doneUnits == this->UnitCount()) {
     this->SetFinal(JobState::kFinished, aNow);
   } else if (this->state == JobState::kAdmitted && !this->Idle()) {
     this->state = JobState::kRunning;
--- a/zones/tracked_job.h
+++ b/zones/tracked_job.h
@@ -6,6 +6,7 @@
 #include "zones/task_unit.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,8 +14,10 @@
 
 class TaskAddress;
 
-/** A job as its holder tracks it: its units, and which version of their
- * progress is stored. */
+/** A job as its holder tracks it: the state of its units, and which version of
+ * their progress is stored. Units are numbered in the order of occurrences,
+ * steps and tasks. Only those with open work are objects, so that the memory of
+ * a job follows its open work; the others have a mark. */
 class TrackedJob
 {
 public:
@@ -29,23 +32,54 @@
   /** When the state became final. */
   Instant FinalSince() const { return this->finalSince; }
 
-  std::vector<TaskUnit>& Units() { return this->units; }
-  const std::vector<TaskUnit>& Units() const { return this->units; }
-  /** The unit that contains the task; null when the job has no such task. */
+  /** Number of units in all occurrences. */
+  std::int32_t UnitCount() const;
+  /** Number of units in one occurrence. */
+  std::int32_t UnitsPerOccurrence() const { return this->unitsPerOccurrence; }
+  /** Number of the first unit of a step in an occurrence. */
+  std::int32_t FirstUnitOf(std::int32_t aOccurrence, std::int32_t aStep) const;
+  /** Number of units of a step in each occurrence. */
+  std::int32_t UnitsOf(std::int32_t aStep) const;
+  std::int32_t NumberOf(const TaskUnit& aUnit) const;
+  bool IsDone(std::int32_t aUnit) const;
+  /** The first unit that is not done; UnitCount() when there is none. */
+  std::int32_t FirstUnfinished() const { return this->firstUnfinished; }
+
+  /** The units with open work, by number: those that were placed and are not
+   * done, that may still run, or that have failed or wait for room. */
+  std::map<std::int32_t, TaskUnit>& OpenUnits() { return this->openUnits; }
+  const std::map<std::int32_t, TaskUnit>& OpenUnits() const
+  {
+    return this->openUnits;
+  }
+  /** The unit as an object, which is valid until it is released. */
+  TaskUnit& Open(std::int32_t aUnit);
+  /** Keeps only the mark of a unit that has no open work. */
+  void Release(std::int32_t aUnit);
+  /** Releases all units that have no open work. */
+  void ReleaseUnits();
+  /** Opens the unit that contains the task; null when the job has no such task.
+   */
   TaskUnit* Find(const TaskAddress& aTask);
-  /** Whether all steps that the unit's step depends on are done in its
-   * occurrence. */
-  bool AreDependenciesDone(const TaskUnit& aUnit) const;
+
+  /** Whether all steps that the step depends on are done in the occurrence. */
+  bool AreDependenciesDone(std::int32_t aOccurrence, std::int32_t aStep) const;
   /** Whether a run of any unit was confirmed by a worker, to this holder or an
    * earlier one. */
   bool HasStarted() const;
-  /** Number of tasks whose unit is open. */
+  /** Number of tasks whose unit was placed and is not done. */
   std::int64_t OpenTasks() const;
   /** Whether no task of the job can be running. */
   bool Idle() const;
 
   void Restore(const JobProgress& aProgress);
   JobProgress Progress() const;
+  /** Records the end of a run of an open unit; returns whether the stored
+   * progress changes by it. */
+  bool RecordEnd(TaskUnit& aUnit,
+                 std::int64_t aRun,
+                 RunOutcome aOutcome,
+                 const std::string& aSaved);
   /** Recomputes the state from the units; called after each start and end. */
   void UpdateState(Instant aNow);
   /** Makes a running job an admitted one again if no run was confirmed and none
@@ -66,14 +100,25 @@
   void SetStoredRows(std::int32_t aRows) { this->storedRows = aRows; }
 
 private:
+  TaskUnit MakeUnit(std::int32_t aUnit) const;
+  char MarkOf(std::int32_t aUnit) const;
+  void SetMark(std::int32_t aUnit, char aMark);
+  std::string Marks() const;
   void SetFinal(JobState aState, Instant aNow);
-  bool StepDone(std::int32_t aOccurrence, std::int32_t aStep) const;
 
   AdmittedJob job;
-  std::vector<TaskUnit> units;
   /** Position of the first unit of each step within one occurrence. */
   std::vector<std::int32_t> firstUnits;
   std::int32_t unitsPerOccurrence = 0;
+  /** A mark for each unit up to the last one that was ever marked; see
+   * JobProgress. An open unit may have a later state than its mark, except that
+   * a done unit is marked at once. */
+  std::string marks;
+  std::map<std::int32_t, TaskUnit> openUnits;
+  std::int32_t doneUnits = 0;
+  std::int32_t firstUnfinished = 0;
+  /** Whether any unit is marked as started or done. */
+  bool hasMarkedStart = false;
   JobState state = JobState::kAdmitted;
   Instant firstSeen;
   Instant finalSince{};
--- a/zones/unit_ref.h
+++ b/zones/unit_ref.h
@@ -3,15 +3,15 @@
 #include "core/names.h"
 
 #include <compare>
-#include <cstddef>
+#include <cstdint>
 
 namespace sardinecourse {
 
-/** Refers to one unit of a job by its position in TrackedJob::Units(). */
+/** Refers to one unit of a job by its number; see TrackedJob. */
 struct UnitRef
 {
   JobKey job;
-  std::size_t unit = 0;
+  std::int32_t unit = 0;
 
   auto operator<=>(const UnitRef&) const = default;
 };
--- a/zones/waiting_group.h
+++ b/zones/waiting_group.h
@@ -1,21 +1,27 @@
 #pragma once
 
+#include "core/names.h"
 #include "core/wall_time.h"
-#include "zones/unit_ref.h"
 
 #include <compare>
 #include <cstdint>
-#include <vector>
 
 namespace sardinecourse {
 
-/** Units of one step that wait for placement: a gang, or independent tasks.
- * Groups are served in ascending order: by priority, then by admission time. */
+/** Units of one step in one occurrence that wait for placement: a gang, or
+ * independent tasks. Groups are served in ascending order: by priority, then by
+ * admission time. */
 struct WaitingGroup
 {
   std::int32_t priority = 0;
   WallTime admitted{};
-  std::vector<UnitRef> units;
+  JobKey job;
+  /** Number of the first unit that waits. */
+  std::int32_t firstUnit = 0;
+  std::int32_t occurrence = 0;
+  std::int32_t step = 0;
+  /** Number of tasks that may be placed for the first time. */
+  std::int64_t maxNewTasks = 0;
 
   auto operator<=>(const WaitingGroup&) const = default;
 };
