Bound the memory of all accepted jobs of a domain

Cause: the size of a job is bounded, that of all accepted jobs was not.

Change: the holder stores what the tracked jobs take by team, in a row that exists while they take more than a quarter of 32 MB, and each admission depends on the row's revision. HasIntakeRoom() refuses large jobs first, then those of a team with half of the bound, then all but urgent ones. A refused caller gets 503 with Retry-After 5 and the figures; a repetition of an accepted job is accepted, and an attempt that may still take effect is settled instead of refused. The bound is the same on every host, so what one accepts another can load.

--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -109,6 +109,7 @@
     this->Spawn([this] { return this->feeds.FollowWorkers(); });
     this->Spawn([this] { return this->writer.Run(); });
     this->Spawn([this] { return this->maintenance.PublishPending(); });
+    this->Spawn([this] { return this->maintenance.PublishUsage(); });
     this->Spawn([this] { return this->PassPeriodically(); });
     this->Spawn([this] { return this->archive.ArchiveEndedJobs(); });
     this->Spawn([this] { return this->archive.DeleteOldEntries(); });
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "codecs/admitted_job_json.h"
+#include "codecs/domain_usage_json.h"
 #include "codecs/job_progress_json.h"
 #include "codecs/pending_json.h"
 #include "contracts/admitted_job_builder.h"
@@ -20,6 +21,7 @@
 #include "scheduling/platform_schema.h"
 #include "scheduling/store_health.h"
 #include "scheduling/store_rows.h"
+#include "zones/job_intake.h"
 
 #include <algorithm>
 #include <boost/asio/awaitable.hpp>
@@ -114,6 +116,11 @@
    * of the path to it lasts seconds, and another host may be able to
    * serve the call. */
   static constexpr Milliseconds kRetryAfter{ 1000 };
+  /** The same when the accepted jobs leave no room. Jobs end over seconds, and
+   * no other host has room either. */
+  static constexpr Milliseconds kRetryAfterForRoom{ 5000 };
+  /** Age up to which the usage may refuse a job without being read again. */
+  static constexpr Milliseconds kMaxUsageAge{ 1000 };
 
   static JobReply Refuse(JobReply::Kind aKind, std::string aCause)
   {
@@ -225,13 +232,24 @@
           *aCall.plan, aCallContext.queue.MaxAttempts(), sizeReason)) {
       co_return Refuse(JobReply::Kind::kMalformed, sizeReason.Message());
     }
+    const std::int64_t bytes = IntakeBytesOf(*aCall.plan);
     bool mayBeWritten = false;
     while (true) {
       Reason reason;
+      // An attempt that may still take effect has to be settled instead.
+      if (!mayBeWritten && !this->HasRoom(aCallContext, bytes, reason)) {
+        const bool isCurrent = co_await this->UpdateUsage(reason);
+        if (!isCurrent || !this->HasRoom(aCallContext, bytes, reason)) {
+          JobReply reply =
+            co_await this->RefuseForRoom(std::move(aCallContext), reason);
+          co_return reply;
+        }
+      }
       const TableTransaction transaction =
         this->MakeAdmission(*aCall.plan, aCallContext);
       const CommitAnswer answer = co_await this->Commit(transaction, reason);
       if (answer.Outcome() == WriteOutcome::kCommitted) {
+        this->usage = this->usage.With(aCallContext.team, bytes);
         co_return MakeReply(JobReply::Kind::kAccepted);
       }
       if (answer.Outcome() == WriteOutcome::kConflict) {
@@ -247,9 +265,11 @@
           refusal.retryAfter = Milliseconds(0);
           co_return refusal;
         }
-        // The configuration has changed, so the call is resolved again with the
-        // new one. An attempt under the previous one can no longer take effect.
+        // The configuration or the usage has changed, so the call is resolved
+        // again with the new one. An attempt under the previous one can no
+        // longer take effect.
         mayBeWritten = false;
+        this->ReadUsage(answer.Current());
         JobReply refusal;
         const auto callContext =
           this->ResolveCallAgain(aCall, answer.Current(), refusal);
@@ -277,6 +297,73 @@
     }
   }
 
+  bool HasRoom(const CallContext& aCallContext,
+               std::int64_t aBytes,
+               Reason& aReason) const
+  {
+    return HasIntakeRoom(this->usage,
+                         aCallContext.team,
+                         aCallContext.queue.Priority(),
+                         aBytes,
+                         aReason);
+  }
+
+  /** Takes the usage from rows of which it is one, unless it is absent from the
+   * store. */
+  void ReadUsage(const std::vector<TableRow>& aRows)
+  {
+    this->usage = DomainUsage();
+    this->usageRevision = 0;
+    this->usageReadAt = Clock::now();
+    for (const TableRow& row : aRows) {
+      if (row.Table() == kDomainTable && row.Key() == kUsageRow &&
+          row.Revision() > 0) {
+        Reason ignored; // An unreadable usage refuses no job.
+        this->usage =
+          DecodeDomainUsage(row.Value(), ignored).value_or(DomainUsage());
+        this->usageRevision = row.Revision();
+      }
+    }
+  }
+
+  /** Reads the usage again if it is too old to refuse a job by it; false, with
+   * the reason, when that failed. */
+  boost::asio::awaitable<bool> UpdateUsage(Reason& aReason)
+  {
+    if (Clock::now() < this->usageReadAt + kMaxUsageAge) {
+      co_return true;
+    }
+    std::string table = kDomainTable;
+    std::string from = kUsageRow;
+    std::string to = AfterKey(kUsageRow);
+    const auto page = co_await this->Read(
+      std::move(table), std::move(from), std::move(to), aReason);
+    if (page) {
+      this->ReadUsage(page->Rows());
+    }
+    co_return page.has_value();
+  }
+
+  /** Refuses a job for which there is no room, unless it is a repetition of one
+   * that was accepted before. */
+  boost::asio::awaitable<JobReply> RefuseForRoom(CallContext aCallContext,
+                                                 Reason aCause)
+  {
+    Reason reason;
+    std::int64_t revision = 0;
+    const std::optional<JobProgress> progress =
+      co_await this->ReadProgress(aCallContext.job, revision, reason);
+    if (progress) {
+      co_return MakeReply(JobReply::Kind::kAccepted);
+    }
+    if (reason.At() != Step::kAdmission) {
+      co_return Refuse(JobReply::Kind::kNotKnown, reason.Message());
+    }
+    JobReply refusal = Refuse(JobReply::Kind::kNotRun, aCause.Message());
+    refusal.retryAfter = kRetryAfterForRoom;
+    co_return refusal;
+  }
+
   static JobReply MakeReply(JobReply::Kind aKind)
   {
     JobReply reply;
@@ -295,8 +382,8 @@
   }
 
   /** Transaction that stores a new job and its progress, on condition that the
-   * job does not exist yet, was not cancelled, and the configuration has not
-   * changed. */
+   * job does not exist yet, was not cancelled, and neither the configuration
+   * nor the usage has changed. */
   TableTransaction MakeAdmission(const JobPlan& aPlan,
                                  const CallContext& aCallContext) const
   {
@@ -328,6 +415,7 @@
              Schema::CatalogTable(),
              Schema::CatalogKey(),
              aCallContext.catalogRevision);
+    AddCheck(checks, kDomainTable, kUsageRow, this->usageRevision);
     AddWrite(
       writes, kJobTable, aCallContext.job.Text(), EncodeAdmittedJob(*job));
     AddWrite(writes,
@@ -580,6 +668,11 @@
   const CurrentCatalog* currentCatalog;
   DomainMetrics* metrics;
   StoreHealth storeHealth;
+  /** Usage of the domain as last read, with the jobs that this instance has
+   * stored since, and the revision of its row; 0 when the row did not exist. */
+  DomainUsage usage;
+  std::int64_t usageRevision = 0;
+  Instant usageReadAt{};
   Milliseconds maxConfirmationAge;
   Instant answerBy = Instant::max();
   CatalogCallback onCatalogRow;
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -39,6 +39,9 @@
 inline const std::string kOwnerRow = "owner";
 inline const std::string kTermRow = "term";
 inline const std::string kPendingRow = "pending";
+/** Memory that the accepted jobs take; absent while there is ample room. Each
+ * admission depends on its revision. */
+inline const std::string kUsageRow = "usage";
 
 /** Key of the row in kJobTable that marks aJob as cancelled. */
 std::string
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/domain_job_api.h"
 
+#include "contracts/domain_usage_builder.h"
 #include "contracts/job_queue_builder.h"
 #include "contracts/service_catalog_builder.h"
 #include "contracts/team_access_builder.h"
@@ -49,6 +50,10 @@
   CPPUNIT_TEST(RetriesOutlastStopOfHost);
   CPPUNIT_TEST(StoreRefusalRefusesCallWithoutRetry);
   CPPUNIT_TEST(JobBeyondTheStoresLimitsIsMalformed);
+  CPPUNIT_TEST(JobWithoutRoomIsToldWhenToComeBack);
+  CPPUNIT_TEST(RepeatedSubmitIsAcceptedWithoutRoom);
+  CPPUNIT_TEST(UnsettledSubmitIsNotReportedAsNotRunWithoutRoom);
+  CPPUNIT_TEST(JobIsAcceptedBesideUsageThatLeavesRoom);
   CPPUNIT_TEST(KeyRevokedDuringSubmitStoresNothing);
   CPPUNIT_TEST(StaleConfirmationRefusesEveryCall);
   CPPUNIT_TEST(CancelIsVisibleAndStoredForHolder);
@@ -139,6 +144,46 @@
     CPPUNIT_ASSERT(this->store.Find(kJobTable, kJob) == nullptr);
   }
 
+  /** Jobs beyond what a host can load were accepted. */
+  void JobWithoutRoomIsToldWhenToComeBack()
+  {
+    this->PutUsage(kMaxIntakeBytes);
+    const JobReply reply = this->Submit();
+    CPPUNIT_ASSERT(JobReply::Kind::kNotRun == reply.kind);
+    CPPUNIT_ASSERT(reply.retryAfter > Milliseconds(1000));
+    CPPUNIT_ASSERT(this->store.Find(kJobTable, kJob) == nullptr);
+  }
+
+  void RepeatedSubmitIsAcceptedWithoutRoom()
+  {
+    CPPUNIT_ASSERT(JobReply::Kind::kAccepted == this->Submit().kind);
+    this->PutUsage(kMaxIntakeBytes);
+    CPPUNIT_ASSERT(JobReply::Kind::kAccepted == this->Submit().kind);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, this->store.CountRows(kJobTable));
+  }
+
+  /** The answer of the first attempt is lost, and the usage is published before
+   * the second one. */
+  void UnsettledSubmitIsNotReportedAsNotRunWithoutRoom()
+  {
+    this->store.faults = { StoreFault::kLostLate };
+    this->store.beforeCommit = [this] {
+      this->store.beforeCommit = [this] {
+        this->store.ApplyLate();
+        this->PutUsage(kMaxIntakeBytes);
+      };
+    };
+    CPPUNIT_ASSERT(JobReply::Kind::kAccepted == this->Submit().kind);
+    CPPUNIT_ASSERT(this->store.Find(kJobTable, kJob) != nullptr);
+  }
+
+  void JobIsAcceptedBesideUsageThatLeavesRoom()
+  {
+    this->PutUsage(kMaxIntakeBytes / 2);
+    CPPUNIT_ASSERT(JobReply::Kind::kAccepted == this->Submit().kind);
+    CPPUNIT_ASSERT_EQUAL(2, this->store.commits);
+  }
+
   void KeyRevokedDuringSubmitStoresNothing()
   {
     this->store.beforeCommit = [this] {
@@ -322,6 +367,15 @@
   }
 
 private:
+  /** Stores the usage that the holder would publish. */
+  void PutUsage(std::int64_t aBytes)
+  {
+    this->store.Put(
+      kDomainTable,
+      kUsageRow,
+      EncodeDomainUsage(Valid(DomainUsageBuilder().Bytes(aBytes))));
+  }
+
   /** Stores a configuration and publishes it on this host. */
   void Configure(const std::string& aText)
   {
--- a/tests/scheduling/domain_term_test.cpp
+++ b/tests/scheduling/domain_term_test.cpp
@@ -7,6 +7,7 @@
 #include "platform/schema.h"
 #include "scheduling/domain_feeds.h"
 #include "scheduling/domain_holder.h"
+#include "scheduling/domain_maintenance.h"
 #include "scheduling/order_sender.h"
 #include "tests/scheduling/fake_row_store.h"
 #include "tests/scheduling/fake_worker_orders.h"
@@ -56,6 +57,7 @@
   CPPUNIT_TEST(OddWorkerEntriesAreSkipped);
   CPPUNIT_TEST(JobArchivedBetweenReadsIsNotLoaded);
   CPPUNIT_TEST(StoredJobWithOverflowingCountsIsSkipped);
+  CPPUNIT_TEST(UsageIsPublishedWhileRoomIsScarce);
   CPPUNIT_TEST(PendingJobCountsAtRenamedQueue);
   CPPUNIT_TEST_SUITE_END();
 
@@ -203,6 +205,42 @@
       this->metrics.CountOf(DomainMetrics::Event::kJobNotLoaded));
   }
 
+  /** A holder publishes the usage of large jobs, and the next one, which has
+   * none, deletes it: hosts would refuse jobs for it ever after. */
+  void UsageIsPublishedWhileRoomIsScarce()
+  {
+    this->store.Put(kDomainTable, kTermRow, "2");
+    for (const bool isFull : { true, false }) {
+      const auto term = this->MakeTerm();
+      for (int job = 0; isFull && job < 300; ++job) {
+        const JobPlan plan = Valid(JobPlanBuilder()
+                                     .Payload(std::string(40'000, 'p'))
+                                     .Steps({ Valid(QuarterStep(1)) }));
+        term->Domain().AddJob(Valid(AdmittedJobBuilder()
+                                      .Key(JobKey(std::to_string(job)))
+                                      .Queue(QueueName("queue-1"))
+                                      .Service(ServiceName("fretdesk"))
+                                      .Team(TeamName("luthiers"))
+                                      .Plan(plan)),
+                              std::nullopt,
+                              1,
+                              Clock::now());
+      }
+      DomainMaintenance<Term> maintenance(*term);
+      term->Spawn([&maintenance] { return maintenance.PublishUsage(); });
+      boost::asio::steady_timer timer(this->context, Milliseconds(100));
+      timer.async_wait(
+        [&term](const boost::system::error_code&) { term->Stop(); });
+      this->Run();
+      const TableRow* row = this->store.Find(kDomainTable, kUsageRow);
+      CPPUNIT_ASSERT_EQUAL(isFull, row != nullptr);
+      Reason reason;
+      CPPUNIT_ASSERT(!isFull ||
+                     DecodeDomainUsage(row->Value(), reason)->Bytes() >=
+                       300 * 40'000);
+    }
+  }
+
   /** The route of a waiting job gets another name, under which callers ask for
    * its pending jobs from then on; none was counted there. */
   void PendingJobCountsAtRenamedQueue()
@@ -251,10 +289,16 @@
                                   this->store,
                                   this->orders,
                                   DomainTiming(),
-                                  DomainGain{ kTerm, kTermRevision },
+                                  DomainGain{ kTerm, this->TermRevision() },
                                   this->MakeCallbacks());
   }
 
+  std::int64_t TermRevision() const
+  {
+    const TableRow* row = this->store.Find(kDomainTable, kTermRow);
+    return row == nullptr ? kTermRevision : row->Revision();
+  }
+
   void Run()
   {
     this->context.restart();
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -1,8 +1,10 @@
 #include "zones/domain_state.h"
 
+#include "contracts/domain_usage_builder.h"
 #include "contracts/task_address_builder.h"
 #include "contracts/worker_report.h"
 #include "core/reason.h"
+#include "zones/job_intake.h"
 #include "zones/start_order_builder.h"
 #include "zones/stop_order_builder.h"
 
@@ -56,6 +58,7 @@
   }
   this->lastArrival = aNow;
   TrackedJob& job = position->second;
+  this->usedBytes[job.Job().Team()] += IntakeBytesOf(job.Job().Plan());
   if (aProgress) {
     job.Restore(*aProgress);
   }
@@ -607,6 +610,13 @@
 void
 DomainState::Archived(const JobKey& aJob, Instant aNow)
 {
+  if (const TrackedJob* job = this->FindJob(aJob)) {
+    const auto used = this->usedBytes.find(job->Job().Team());
+    used->second -= IntakeBytesOf(job->Job().Plan());
+    if (used->second == 0) {
+      this->usedBytes.erase(used);
+    }
+  }
   this->jobs.erase(aJob);
   this->active.erase(aJob);
   this->archived.try_emplace(aJob, aNow);
@@ -648,4 +658,19 @@
   return pending;
 }
 
+DomainUsage
+DomainState::Usage() const
+{
+  std::int64_t bytes = 0;
+  for (const auto& [team, teamBytes] : this->usedBytes) {
+    bytes += teamBytes;
+  }
+  Reason ignored; // The amounts are not negative.
+  return DomainUsageBuilder()
+    .Bytes(bytes)
+    .Teams(this->usedBytes)
+    .Build(ignored)
+    .value_or(DomainUsage());
+}
+
 }
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "contracts/domain_timing.h"
+#include "contracts/domain_usage.h"
 #include "contracts/ended_task.h"
 #include "contracts/task_address.h"
 #include "core/instant.h"
@@ -145,6 +146,8 @@
   /** Number of accepted jobs of each queue of which no task was confirmed to
    * have started. A queue counts under the name in force. */
   std::map<QueueName, std::int64_t> Pending() const;
+  /** Memory that the tracked jobs take. */
+  DomainUsage Usage() const;
 
   static TaskAddress AddressOf(const TrackedJob& aJob,
                                const TaskUnit& aUnit,
@@ -185,6 +188,8 @@
   Instant lastArrival;
   std::map<JobKey, TrackedJob> jobs;
   std::set<JobKey> active;
+  /** Bytes of the tracked jobs of each team; see IntakeBytesOf(). */
+  std::map<TeamName, std::int64_t> usedBytes;
   /** Archived jobs, with the time from which their retention counts. */
   std::map<JobKey, Instant> archived;
   std::map<WorkerName, TrackedWorker> workers;
