--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "codecs/admitted_job_json.h"
-#include "codecs/domain_usage_json.h"
 #include "codecs/job_progress_json.h"
 #include "codecs/pending_json.h"
 #include "contracts/admitted_job_builder.h"
@@ -17,6 +16,7 @@
 #include "scheduling/current_catalog.h"
 #include "scheduling/domain_metrics.h"
 #include "scheduling/event_line.h"
+#include "scheduling/known_usage.h"
 #include "scheduling/pause.h"
 #include "scheduling/platform_schema.h"
 #include "scheduling/store_health.h"
@@ -119,8 +119,6 @@
   /** The same when the accepted jobs leave no room. Jobs end over seconds, and
    * no other host has room either. */
   static constexpr Milliseconds kRetryAfterForRoom{ 5000 };
-  /** Age up to which the usage may refuse a job without being read again. */
-  static constexpr Milliseconds kMaxUsageAge{ 1000 };
 
   static JobReply Refuse(JobReply::Kind aKind, std::string aCause)
   {
@@ -237,9 +235,9 @@
     while (true) {
       Reason reason;
       // An attempt that may still take effect has to be settled instead.
-      if (!mayBeWritten && !this->HasRoom(aCallContext, bytes, reason)) {
+      if (!mayBeWritten && !this->usage.HasRoom(aCallContext, bytes, reason)) {
         const bool isCurrent = co_await this->UpdateUsage(reason);
-        if (!isCurrent || !this->HasRoom(aCallContext, bytes, reason)) {
+        if (!isCurrent || !this->usage.HasRoom(aCallContext, bytes, reason)) {
           JobReply reply =
             co_await this->RefuseForRoom(std::move(aCallContext), reason);
           co_return reply;
@@ -249,7 +247,7 @@
         this->MakeAdmission(*aCall.plan, aCallContext);
       const CommitAnswer answer = co_await this->Commit(transaction, reason);
       if (answer.Outcome() == WriteOutcome::kCommitted) {
-        this->usage = this->usage.With(aCallContext.team, bytes);
+        this->usage.Add(aCallContext, bytes);
         co_return MakeReply(JobReply::Kind::kAccepted);
       }
       if (answer.Outcome() == WriteOutcome::kConflict) {
@@ -269,7 +267,7 @@
         // again with the new one. An attempt under the previous one can no
         // longer take effect.
         mayBeWritten = false;
-        this->ReadUsage(answer.Current());
+        this->usage.Update(answer.Current(), Clock::now());
         JobReply refusal;
         const auto callContext =
           this->ResolveCallAgain(aCall, answer.Current(), refusal);
@@ -297,40 +295,11 @@
     }
   }
 
-  bool HasRoom(const CallContext& aCallContext,
-               std::int64_t aBytes,
-               Reason& aReason) const
-  {
-    return HasIntakeRoom(this->usage,
-                         aCallContext.team,
-                         aCallContext.queue.Priority(),
-                         aBytes,
-                         aReason);
-  }
-
-  /** Takes the usage from rows of which it is one, unless it is absent from the
-   * store. */
-  void ReadUsage(const std::vector<TableRow>& aRows)
-  {
-    this->usage = DomainUsage();
-    this->usageRevision = 0;
-    this->usageReadAt = Clock::now();
-    for (const TableRow& row : aRows) {
-      if (row.Table() == kDomainTable && row.Key() == kUsageRow &&
-          row.Revision() > 0) {
-        Reason ignored; // An unreadable usage refuses no job.
-        this->usage =
-          DecodeDomainUsage(row.Value(), ignored).value_or(DomainUsage());
-        this->usageRevision = row.Revision();
-      }
-    }
-  }
-
   /** Reads the usage again if it is too old to refuse a job by it; false, with
    * the reason, when that failed. */
   boost::asio::awaitable<bool> UpdateUsage(Reason& aReason)
   {
-    if (Clock::now() < this->usageReadAt + kMaxUsageAge) {
+    if (this->usage.IsFresh(Clock::now())) {
       co_return true;
     }
     std::string table = kDomainTable;
@@ -339,7 +308,7 @@
     const auto page = co_await this->Read(
       std::move(table), std::move(from), std::move(to), aReason);
     if (page) {
-      this->ReadUsage(page->Rows());
+      this->usage.Update(page->Rows(), Clock::now());
     }
     co_return page.has_value();
   }
@@ -415,7 +384,7 @@
              Schema::CatalogTable(),
              Schema::CatalogKey(),
              aCallContext.catalogRevision);
-    AddCheck(checks, kDomainTable, kUsageRow, this->usageRevision);
+    AddCheck(checks, kDomainTable, kUsageRow, this->usage.Revision());
     AddWrite(
       writes, kJobTable, aCallContext.job.Text(), EncodeAdmittedJob(*job));
     AddWrite(writes,
@@ -668,11 +637,7 @@
   const CurrentCatalog* currentCatalog;
   DomainMetrics* metrics;
   StoreHealth storeHealth;
-  /** Usage of the domain as last read, with the jobs that this instance has
-   * stored since, and the revision of its row; 0 when the row did not exist. */
-  DomainUsage usage;
-  std::int64_t usageRevision = 0;
-  Instant usageReadAt{};
+  KnownUsage usage;
   Milliseconds maxConfirmationAge;
   Instant answerBy = Instant::max();
   CatalogCallback onCatalogRow;
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/domain_job_api.h"
 
+#include "codecs/domain_usage_json.h"
 #include "contracts/domain_usage_builder.h"
 #include "contracts/job_queue_builder.h"
 #include "contracts/service_catalog_builder.h"
