Never delete the row of the usage

Callers would have seen: a job runs that was refused for want of room with the promise that it had not been accepted.

Cause: a first admission requires that the row has no revision. Its answer is lost, the row appears, and the next attempt conflicts, so the caller is refused. Once there is room again the holder deleted the row, and the first admission, which the store may perform seconds later, met its condition again.

Change: the row stays once it exists. A holder reads it at the start of its term and writes only when its own figure differs, so a domain that never was scarce has no row and takes one read more in a takeover.

--- a/scheduling/domain_maintenance.h
+++ b/scheduling/domain_maintenance.h
@@ -46,22 +46,24 @@
     }
   }
 
-  /** Stores the memory that the accepted jobs take while room is scarce, and
-   * deletes the row otherwise, also that of an earlier holder. A failed write
-   * is logged and repeated. */
+  /** Stores the memory that the accepted jobs take when it has changed; a
+   * failed write is logged and repeated. */
   boost::asio::awaitable<void> PublishUsage()
   {
     std::optional<DomainUsage> published;
     while (this->term->IsActive()) {
+      if (!published) {
+        published = co_await this->ReadUsage();
+      }
       const DomainUsage usage = PublishedUsage(this->term->Domain().Usage());
-      if (usage != published) {
-        std::optional<std::string> value;
-        if (usage != DomainUsage()) {
-          value = EncodeDomainUsage(usage);
-        }
-        const bool isStored = co_await this->Store(kUsageRow, value);
+      if (published && usage != *published) {
+        std::string value = EncodeDomainUsage(usage);
+        const bool isStored = co_await this->Store(kUsageRow, std::move(value));
         if (isStored) {
-          LogUsage(usage);
+          EventLine("usage_stored")
+            .Field("bytes", usage.Bytes())
+            .Field("limit", kMaxIntakeBytes)
+            .Emit();
           published = usage;
         }
       }
@@ -74,9 +76,30 @@
   /** Hosts take jobs by the stored usage, so it is stored soon. */
   static constexpr Milliseconds kUsageInterval{ 100 };
 
-  /** Stores a value in a row of the domain, or deletes the row. */
-  boost::asio::awaitable<bool> Store(std::string aRow,
-                                     std::optional<std::string> aValue)
+  /** The usage that an earlier holder stored; none of it if the store has no
+   * row. Empty when the read failed. */
+  boost::asio::awaitable<std::optional<DomainUsage>> ReadUsage()
+  {
+    Reason reason;
+    std::string table = kDomainTable;
+    std::string from = kUsageRow;
+    std::string to = AfterKey(kUsageRow);
+    const auto page = co_await this->term->Rows().Read(
+      std::move(table), std::move(from), std::move(to), reason);
+    if (!page) {
+      EventLine("usage_unreadable").Field(reason).Emit();
+      co_return std::nullopt;
+    }
+    if (page->Rows().empty()) {
+      co_return DomainUsage();
+    }
+    // A row that is not a usage is replaced.
+    co_return DecodeDomainUsage(page->Rows().front().Value(), reason)
+      .value_or(DomainUsage().With(TeamName(), kMaxIntakeBytes));
+  }
+
+  /** Stores a value in a row of the domain. */
+  boost::asio::awaitable<bool> Store(std::string aRow, std::string aValue)
   {
     std::vector<TableCheck> checks;
     std::vector<TableWrite> writes;
@@ -93,16 +116,6 @@
     co_return answer.Outcome() == WriteOutcome::kCommitted;
   }
 
-  static void LogUsage(const DomainUsage& aUsage)
-  {
-    if (aUsage != DomainUsage()) {
-      EventLine("usage_stored")
-        .Field("bytes", aUsage.Bytes())
-        .Field("limit", kMaxIntakeBytes)
-        .Emit();
-    }
-  }
-
   Term* term;
 };
 
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -39,8 +39,9 @@
 inline const std::string kOwnerRow = "owner";
 inline const std::string kTermRow = "term";
 inline const std::string kPendingRow = "pending";
-/** Memory that the accepted jobs take; absent while there is ample room. Each
- * admission depends on its revision. */
+/** Memory that the accepted jobs take; absent until room is scarce for the
+ * first time. Each admission depends on its revision, so it is never deleted: a
+ * late admission that requires its absence would take effect after all. */
 inline const std::string kUsageRow = "usage";
 
 /** Key of the row in kJobTable that marks aJob as cancelled. */
