Name a step and a quarter for what they are

Cause: read as a newcomer, 'steps' was one step, 'third' a quarter, and a comment gave the claim's 310 MB where the test measured 354 MB.

Change: names and comments only.

--- a/tests/contracts/job_plan_test.cpp
+++ b/tests/contracts/job_plan_test.cpp
@@ -18,8 +18,8 @@
 
 constexpr std::int32_t kMost = std::numeric_limits<std::int32_t>::max();
 constexpr std::int64_t kMostMs = std::numeric_limits<std::int64_t>::max();
-/** Bounds that the pages and the store set; the product's own constants are not
- * used, so that a change of them shows here. */
+/** Bounds of a job, written out so that a change of the product's constants
+ * shows here. */
 constexpr std::int64_t kMaxUnits = 20'000;
 constexpr std::int64_t kMaxFailedBytes = 350'000;
 constexpr std::int64_t kUnitBytes = 8;
--- a/tests/zones/job_intake_test.cpp
+++ b/tests/zones/job_intake_test.cpp
@@ -55,10 +55,10 @@
 public:
   void UrgentJobsHaveRoomWhenOthersHaveNone()
   {
-    const std::int64_t third = kMaxIntakeBytes / 4;
-    const DomainUsage usage = UsageOf({ { TeamName("a"), third },
-                                        { TeamName("b"), third },
-                                        { TeamName("c"), third } });
+    const std::int64_t quarter = kMaxIntakeBytes / 4;
+    const DomainUsage usage = UsageOf({ { TeamName("a"), quarter },
+                                        { TeamName("b"), quarter },
+                                        { TeamName("c"), quarter } });
     CPPUNIT_ASSERT(!HasRoom(usage, "d", kOrdinary, kSmall));
     CPPUNIT_ASSERT(HasRoom(usage, "d", kUrgent, kSmall));
     CPPUNIT_ASSERT(HasRoom(usage, "a", kUrgent, kSmall));
--- a/tests/zones/tracked_job_memory_test.cpp
+++ b/tests/zones/tracked_job_memory_test.cpp
@@ -61,7 +61,7 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
-  /** 100 accepted jobs of 15,000 occurrences took 310 MB in every host that
+  /** 100 accepted jobs of 15,000 occurrences took 354 MB in every host that
    * loaded them, and each was killed for it. */
   void TimedJobsThatAreNotDueFitIntoMemory()
   {
--- a/zones/tracked_job.cpp
+++ b/zones/tracked_job.cpp
@@ -109,14 +109,14 @@
   const std::int32_t position = aUnit % this->unitsPerOccurrence;
   const auto next = std::upper_bound(
     this->firstUnits.begin(), this->firstUnits.end(), position);
-  const auto step =
+  const auto index =
     static_cast<std::int32_t>(next - this->firstUnits.begin()) - 1;
-  const JobStep& steps = this->job.Plan().Steps()[step];
+  const JobStep& step = this->job.Plan().Steps()[index];
   TaskUnit unit(aUnit / this->unitsPerOccurrence,
-                step,
-                steps.IsGang() ? 0 : position - this->firstUnits[step],
-                steps.IsGang() ? steps.Count() : 1,
-                !steps.IsEndless());
+                index,
+                step.IsGang() ? 0 : position - this->firstUnits[index],
+                step.IsGang() ? step.Count() : 1,
+                !step.IsEndless());
   unit.Restore(this->MarkOf(aUnit), {});
   return unit;
 }
