Say once how a step divides into units, and read a row in one place

Cause: on reading the change again, "a gang is one unit" stood in five places and "tasks of a unit" in three; the number of done units and whether any unit had started were kept although the marks show them; a pass searched each open unit again to release it, and opened the first unit of a group twice; three functions of DomainJobApi read one row with the same lines.

Change: JobStep::UnitCount() and TasksPerUnit(); both fields derived from the marks; units are released while they are gone through; ServeTasks() receives the unit as ServeGang() does; DomainJobApi::ReadRow(). Behaviour and tests are as they were.

--- a/contracts/job_plan.cpp
+++ b/contracts/job_plan.cpp
@@ -18,7 +18,7 @@
 {
   std::int64_t count = 0;
   for (const JobStep& step : this->steps) {
-    count = SaturatedSum(count, step.IsGang() ? 1 : step.Count());
+    count = SaturatedSum(count, step.UnitCount());
   }
   return SaturatedProduct(count, this->occurrences);
 }
--- a/contracts/job_step.h
+++ b/contracts/job_step.h
@@ -27,6 +27,10 @@
   const std::vector<std::int32_t>& After() const { return this->after; }
   /** True if the tasks run only all together and end together. */
   bool IsGang() const { return this->isGang; }
+  /** Number of units: a gang is one unit, every other task one of its own. */
+  std::int32_t UnitCount() const { return this->isGang ? 1 : this->count; }
+  /** Number of tasks in each unit. */
+  std::int32_t TasksPerUnit() const { return this->isGang ? this->count : 1; }
   /** True if running on more than one rack slows the tasks down by
    * DomainTiming::RemoteSlowdown(). */
   bool PrefersOneRack() const { return this->prefersOneRack; }
--- a/contracts/progress_limits.cpp
+++ b/contracts/progress_limits.cpp
@@ -34,14 +34,13 @@
                          " are accepted");
       return false;
     }
-    const std::int64_t units = step.IsGang() ? 1 : step.Count();
     const std::int64_t attempts = step.IsEndless() ? 0 : aMaxAttempts;
     const std::int64_t unitBytes = SaturatedSum(
       kFailedUnitBytes, SaturatedProduct(attempts, kFailedRunBytes));
-    failedBytes =
-      SaturatedSum(failedBytes,
-                   SaturatedProduct(
-                     SaturatedProduct(units, aPlan.Occurrences()), unitBytes));
+    failedBytes = SaturatedSum(
+      failedBytes,
+      SaturatedProduct(SaturatedProduct(step.UnitCount(), aPlan.Occurrences()),
+                       unitBytes));
   }
   constexpr std::int64_t kMaxFailedBytes =
     static_cast<std::int64_t>(kMaxTransactionBytes) - kReservedBytes;
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -187,6 +187,16 @@
     co_return page;
   }
 
+  boost::asio::awaitable<std::optional<RowPage>> ReadRow(std::string aTable,
+                                                         std::string aKey,
+                                                         Reason& aReason)
+  {
+    std::string to = AfterKey(aKey);
+    std::optional<RowPage> page = co_await this->Read(
+      std::move(aTable), std::move(aKey), std::move(to), aReason);
+    co_return page;
+  }
+
   std::optional<CallContext> ResolveCallIn(const ServiceCatalog& aCatalog,
                                            const JobCall& aCall,
                                            JobReply& aReply) const
@@ -303,10 +313,9 @@
       co_return true;
     }
     std::string table = kDomainTable;
-    std::string from = kUsageRow;
-    std::string to = AfterKey(kUsageRow);
-    const auto page = co_await this->Read(
-      std::move(table), std::move(from), std::move(to), aReason);
+    std::string key = kUsageRow;
+    const auto page =
+      co_await this->ReadRow(std::move(table), std::move(key), aReason);
     if (page) {
       this->usage.Update(page->Rows(), Clock::now());
     }
@@ -461,10 +470,9 @@
   {
     Reason reason;
     std::string table = kDomainTable;
-    std::string from = kPendingRow;
-    std::string to = AfterKey(kPendingRow);
-    const auto page = co_await this->Read(
-      std::move(table), std::move(from), std::move(to), reason);
+    std::string key = kPendingRow;
+    const auto page =
+      co_await this->ReadRow(std::move(table), std::move(key), reason);
     if (!page) {
       co_return Refuse(JobReply::Kind::kNotRun, reason.Message());
     }
@@ -484,10 +492,8 @@
   {
     // In this order, because a job may be archived between the reads.
     for (const std::string& table : { kProgressTable, kEndedTable }) {
-      std::string from = aJob.Text();
-      std::string to = AfterKey(aJob.Text());
-      const auto page =
-        co_await this->Read(table, std::move(from), std::move(to), aReason);
+      std::string key = aJob.Text();
+      const auto page = co_await this->ReadRow(table, std::move(key), aReason);
       if (!page) {
         co_return std::nullopt;
       }
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -213,9 +213,8 @@
                          std::int64_t& aNewTasksLeft)
 {
   const JobStep& step = aJob.Job().Plan().Steps()[aStep];
-  const std::int64_t tasks = step.IsGang() ? step.Count() : 1;
   const std::int32_t first = aJob.FirstUnitOf(aOccurrence, aStep);
-  const std::int32_t end = first + aJob.UnitsOf(aStep);
+  const std::int32_t end = first + step.UnitCount();
   auto open = aJob.OpenUnits().lower_bound(first);
   std::vector<std::int32_t> units;
   for (std::int32_t number = first; number < end; ++number) {
@@ -225,10 +224,10 @@
       continue;
     }
     if (unit == nullptr || !unit->IsOpen()) {
-      if (tasks > aNewTasksLeft) {
+      if (step.TasksPerUnit() > aNewTasksLeft) {
         continue;
       }
-      aNewTasksLeft -= tasks;
+      aNewTasksLeft -= step.TasksPerUnit();
     }
     units.push_back(number);
   }
@@ -244,7 +243,7 @@
   if (job.StepOf(unit).IsGang()) {
     this->ServeGang(job, unit, first);
   } else {
-    this->ServeTasks(job, aGroup);
+    this->ServeTasks(job, unit, first, aGroup);
   }
   job.Release(first.unit);
 }
@@ -267,12 +266,13 @@
 }
 
 void
-DomainPass::ServeTasks(TrackedJob& aJob, const WaitingGroup& aGroup)
+DomainPass::ServeTasks(TrackedJob& aJob,
+                       TaskUnit& aFirst,
+                       const UnitRef& aFirstRef,
+                       const WaitingGroup& aGroup)
 {
-  const UnitRef firstRef{ aGroup.job, aGroup.firstUnit };
-  TaskUnit& first = aJob.Open(firstRef.unit);
-  const JobStep& step = aJob.StepOf(first);
-  const bool isOverdue = this->IsOverdueInAmpleRoom(aJob, first, firstRef);
+  const JobStep& step = aJob.StepOf(aFirst);
+  const bool isOverdue = this->IsOverdueInAmpleRoom(aJob, aFirst, aFirstRef);
   std::int64_t newTasksLeft = aGroup.maxNewTasks;
   const std::vector<std::int32_t> units =
     WaitingUnits(aJob, aGroup.occurrence, aGroup.step, newTasksLeft);
@@ -285,7 +285,7 @@
     return;
   }
   const std::vector<CandidateWorker>& workers =
-    this->view.CandidatesFor(aJob, first, firstRef);
+    this->view.CandidatesFor(aJob, aFirst, aFirstRef);
   std::vector<WorkerName> places =
     FindSomePlaces(workers, MakePlacementRequest(step, count, true));
   if (places.empty() && !step.DataRack().Empty() &&
@@ -299,7 +299,7 @@
     this->Start(aJob, unit, { places[position] });
   }
   if (places.empty()) {
-    this->reclaim.ReclaimFor(aJob, first, firstRef);
+    this->reclaim.ReclaimFor(aJob, aFirst, aFirstRef);
   }
 }
 
@@ -354,7 +354,7 @@
   const auto headroom =
     static_cast<std::int64_t>(share * static_cast<double>(total));
   const std::int64_t needed =
-    aStep.Need().Accelerators() * (aStep.IsGang() ? aStep.Count() : 1);
+    aStep.Need().Accelerators() * aStep.TasksPerUnit();
   if (needed > total - headroom) {
     return kNoLimit; // Beside the headroom the step would never start.
   }
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -54,7 +54,10 @@
                                                 std::int64_t& aNewTasksLeft);
   void Serve(const WaitingGroup& aGroup);
   void ServeGang(TrackedJob& aJob, TaskUnit& aUnit, const UnitRef& aRef);
-  void ServeTasks(TrackedJob& aJob, const WaitingGroup& aGroup);
+  void ServeTasks(TrackedJob& aJob,
+                  TaskUnit& aFirst,
+                  const UnitRef& aFirstRef,
+                  const WaitingGroup& aGroup);
   bool IsOverdueInAmpleRoom(const TrackedJob& aJob,
                             TaskUnit& aUnit,
                             const UnitRef& aRef);
--- a/zones/tracked_job.cpp
+++ b/zones/tracked_job.cpp
@@ -35,7 +35,7 @@
 {
   for (const JobStep& step : this->job.Plan().Steps()) {
     this->firstUnits.push_back(this->unitsPerOccurrence);
-    this->unitsPerOccurrence += step.IsGang() ? 1 : step.Count();
+    this->unitsPerOccurrence += step.UnitCount();
   }
 }
 
@@ -58,13 +58,6 @@
   return aOccurrence * this->unitsPerOccurrence + this->firstUnits[aStep];
 }
 
-std::int32_t
-TrackedJob::UnitsOf(std::int32_t aStep) const
-{
-  const JobStep& step = this->job.Plan().Steps()[aStep];
-  return step.IsGang() ? 1 : step.Count();
-}
-
 std::int32_t
 TrackedJob::NumberOf(const TaskUnit& aUnit) const
 {
@@ -89,8 +82,6 @@
     this->marks.resize(aUnit + 1, JobProgress::kNeverStarted);
   }
   this->marks[aUnit] = aMark;
-  this->hasMarkedStart = true;
-  this->doneUnits += aMark == JobProgress::kDone ? 1 : 0;
   while (this->firstUnfinished < this->UnitCount() &&
          this->IsDone(this->firstUnfinished)) {
     ++this->firstUnfinished;
@@ -115,7 +106,7 @@
   TaskUnit unit(aUnit / this->unitsPerOccurrence,
                 index,
                 step.IsGang() ? 0 : position - this->firstUnits[index],
-                step.IsGang() ? step.Count() : 1,
+                step.TasksPerUnit(),
                 !step.IsEndless());
   unit.Restore(this->MarkOf(aUnit), {});
   return unit;
@@ -132,12 +123,22 @@
     ->second;
 }
 
+bool
+TrackedJob::MarkForRelease(std::int32_t aUnit, const TaskUnit& aState)
+{
+  if (aState.HasOpenWork()) {
+    return false;
+  }
+  this->SetMark(aUnit, aState.StoredMark());
+  return true;
+}
+
 void
 TrackedJob::Release(std::int32_t aUnit)
 {
   const auto found = this->openUnits.find(aUnit);
-  if (found != this->openUnits.end() && !found->second.HasOpenWork()) {
-    this->SetMark(aUnit, found->second.StoredMark());
+  if (found != this->openUnits.end() &&
+      this->MarkForRelease(aUnit, found->second)) {
     this->openUnits.erase(found);
   }
 }
@@ -145,11 +146,9 @@
 void
 TrackedJob::ReleaseUnits()
 {
-  for (auto unit = this->openUnits.begin(); unit != this->openUnits.end();) {
-    const std::int32_t number = unit->first;
-    ++unit;
-    this->Release(number);
-  }
+  std::erase_if(this->openUnits, [this](const auto& aUnit) {
+    return this->MarkForRelease(aUnit.first, aUnit.second);
+  });
 }
 
 TaskUnit*
@@ -178,7 +177,8 @@
     dependencies.end(),
     [this, aOccurrence](std::int32_t aDependency) {
       const std::int32_t first = this->FirstUnitOf(aOccurrence, aDependency);
-      const std::int32_t end = first + this->UnitsOf(aDependency);
+      const std::int32_t end =
+        first + this->job.Plan().Steps()[aDependency].UnitCount();
       std::int32_t unit = std::max(first, this->firstUnfinished);
       while (unit < end && this->IsDone(unit)) {
         ++unit;
@@ -190,7 +190,8 @@
 bool
 TrackedJob::HasStarted() const
 {
-  return this->hasMarkedStart ||
+  // A mark is kept only from the first unit that started on.
+  return !this->marks.empty() ||
          std::any_of(
            this->openUnits.begin(),
            this->openUnits.end(),
@@ -322,7 +323,7 @@
   if (std::any_of(
         this->openUnits.begin(), this->openUnits.end(), hasNoAttemptsLeft)) {
     this->SetFinal(JobState::kFailed, aNow);
-  } else if (this->doneUnits == this->UnitCount()) {
+  } else if (this->firstUnfinished == this->UnitCount()) {
     this->SetFinal(JobState::kFinished, aNow);
   } else if (this->state == JobState::kAdmitted && !this->Idle()) {
     this->state = JobState::kRunning;
--- a/zones/tracked_job.h
+++ b/zones/tracked_job.h
@@ -38,8 +38,6 @@
   std::int32_t UnitsPerOccurrence() const { return this->unitsPerOccurrence; }
   /** Number of the first unit of a step in an occurrence. */
   std::int32_t FirstUnitOf(std::int32_t aOccurrence, std::int32_t aStep) const;
-  /** Number of units of a step in each occurrence. */
-  std::int32_t UnitsOf(std::int32_t aStep) const;
   std::int32_t NumberOf(const TaskUnit& aUnit) const;
   bool IsDone(std::int32_t aUnit) const;
   /** The first unit that is not done; UnitCount() when there is none. */
@@ -103,6 +101,8 @@
   TaskUnit MakeUnit(std::int32_t aUnit) const;
   char MarkOf(std::int32_t aUnit) const;
   void SetMark(std::int32_t aUnit, char aMark);
+  /** Marks an open unit for its release; false if it has open work. */
+  bool MarkForRelease(std::int32_t aUnit, const TaskUnit& aState);
   std::string Marks() const;
   void SetFinal(JobState aState, Instant aNow);
 
@@ -115,10 +115,7 @@
    * a done unit is marked at once. */
   std::string marks;
   std::map<std::int32_t, TaskUnit> openUnits;
-  std::int32_t doneUnits = 0;
   std::int32_t firstUnfinished = 0;
-  /** Whether any unit is marked as started or done. */
-  bool hasMarkedStart = false;
   JobState state = JobState::kAdmitted;
   Instant firstSeen;
   Instant finalSince{};
