Give placement one value for what is known of a worker

Cause: evacuation, the pace of workers and kinds of work that slow each other down each decide where a task may or should go. Without a common input each would change the search. Change: WorkerOutlook (open, pace, disturbance) is a part of every CandidateWorker; a PlacementRequest has a preference by pace. DomainPolicy has three switches, off by default, which the settings name use_pace, share_room and separate_kinds. Decisions may lie in folders under zones/. Nothing reads the new values yet, so placement is as before.

--- a/codecs/domain_policy_yaml.cpp
+++ b/codecs/domain_policy_yaml.cpp
@@ -29,6 +29,10 @@
     .LocalityWaitShare(share("near_patience", defaults.LocalityWaitShare()))
     .UrgentLocalityWaitShare(
       share("urgent_near_patience", defaults.UrgentLocalityWaitShare()))
+    .IsPaceUsed(aReader.Boolean("use_pace", defaults.IsPaceUsed()))
+    .IsRoomShared(aReader.Boolean("share_room", defaults.IsRoomShared()))
+    .AreKindsSeparated(
+      aReader.Boolean("separate_kinds", defaults.AreKindsSeparated()))
     .Build(aReason);
 }
 
--- a/codecs/yaml_reader.cpp
+++ b/codecs/yaml_reader.cpp
@@ -132,6 +132,20 @@
   return number;
 }
 
+bool
+YamlReader::Boolean(const std::string& aKey, bool aDefault)
+{
+  const YAML::Node value = this->ReadNode(aKey);
+  if (!value.IsDefined()) {
+    return aDefault;
+  }
+  bool isSet = aDefault;
+  if (!value.IsScalar() || !YAML::convert<bool>::decode(value, isSet)) {
+    this->Fail(aKey, "must be true or false");
+  }
+  return isSet;
+}
+
 Milliseconds
 YamlReader::Seconds(const std::string& aKey,
                     Milliseconds aDefault,
--- a/codecs/yaml_reader.h
+++ b/codecs/yaml_reader.h
@@ -59,6 +59,9 @@
                        Milliseconds aDefault,
                        double aMin,
                        double aMax);
+  /** Value of an optional true or false; any other value is recorded as an
+   * error and replaced by the default. */
+  bool Boolean(const std::string& aKey, bool aDefault);
   /** Required IP:PORT; an invalid one is recorded as an error and read as an
    * empty endpoint. */
   Endpoint Address(const std::string& aKey);
--- a/contracts/domain_policy.h
+++ b/contracts/domain_policy.h
@@ -31,6 +31,14 @@
     return this->urgentLocalityWaitShare;
   }
 
+  /** Whether placement takes the measured pace of workers into account. */
+  bool IsPaceUsed() const { return this->isPaceUsed; }
+  /** Whether the order of waiting work takes into account how teams and the
+   * callers of each data centre were served. */
+  bool IsRoomShared() const { return this->isRoomShared; }
+  /** Whether kinds of work that slow each other down are kept apart. */
+  bool AreKindsSeparated() const { return this->areKindsSeparated; }
+
   auto operator<=>(const DomainPolicy&) const = default;
 
 private:
@@ -42,6 +50,9 @@
   double maxPreemptionWaste = 1.0;
   double localityWaitShare = 1.0;
   double urgentLocalityWaitShare = 0.5;
+  bool isPaceUsed = false;
+  bool isRoomShared = false;
+  bool areKindsSeparated = false;
 };
 
 }
--- a/contracts/domain_policy_builder.cpp
+++ b/contracts/domain_policy_builder.cpp
@@ -46,6 +46,27 @@
   return *this;
 }
 
+DomainPolicyBuilder&
+DomainPolicyBuilder::IsPaceUsed(bool aIsUsed)
+{
+  this->value.isPaceUsed = aIsUsed;
+  return *this;
+}
+
+DomainPolicyBuilder&
+DomainPolicyBuilder::IsRoomShared(bool aIsShared)
+{
+  this->value.isRoomShared = aIsShared;
+  return *this;
+}
+
+DomainPolicyBuilder&
+DomainPolicyBuilder::AreKindsSeparated(bool aAreSeparated)
+{
+  this->value.areKindsSeparated = aAreSeparated;
+  return *this;
+}
+
 std::optional<DomainPolicy>
 DomainPolicyBuilder::Build(Reason& aReason) const
 {
--- a/contracts/domain_policy_builder.h
+++ b/contracts/domain_policy_builder.h
@@ -19,6 +19,9 @@
   DomainPolicyBuilder& MaxPreemptionWaste(double aShare);
   DomainPolicyBuilder& LocalityWaitShare(double aShare);
   DomainPolicyBuilder& UrgentLocalityWaitShare(double aShare);
+  DomainPolicyBuilder& IsPaceUsed(bool aIsUsed);
+  DomainPolicyBuilder& IsRoomShared(bool aIsShared);
+  DomainPolicyBuilder& AreKindsSeparated(bool aAreSeparated);
   std::optional<DomainPolicy> Build(Reason& aReason) const;
 
 private:
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -182,7 +182,7 @@
     const auto host = DecodeDomainHostSettings(
       kHost + "core_share: 0.25\ngrace_s: 4.5\n"
               "timing: {worker_lease_ms: 10000, restart_s: 14.5}\n"
-              "policy: {headroom: 0.15}\n",
+              "policy: {headroom: 0.15, use_pace: true}\n",
       "f",
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
@@ -193,6 +193,9 @@
     CPPUNIT_ASSERT_DOUBLES_EQUAL(0.15, host->Policy().Headroom(), 0.0);
     CPPUNIT_ASSERT_DOUBLES_EQUAL(
       DomainPolicy().BatchHeadroom(), host->Policy().BatchHeadroom(), 0.0);
+    CPPUNIT_ASSERT(host->Policy().IsPaceUsed());
+    CPPUNIT_ASSERT(!host->Policy().IsRoomShared());
+    CPPUNIT_ASSERT(!host->Policy().AreKindsSeparated());
     for (const char* invalidLine : { "core_share: no\n",
                                      "core_share: -1\n",
                                      "threads: 0\n",
@@ -200,6 +203,7 @@
                                      "unknown: 1\n",
                                      "policy: {headroom: 2}\n",
                                      "policy: {most_waste: .nan}\n",
+                                     "policy: {share_room: 2}\n",
                                      "timing: {stop_ms: 0}\n",
                                      "timing: {restart_s: 0}\n" }) {
       CPPUNIT_ASSERT_MESSAGE(
--- a/zones/candidate_worker.h
+++ b/zones/candidate_worker.h
@@ -2,6 +2,7 @@
 
 #include "core/names.h"
 #include "machines/resources.h"
+#include "zones/worker_outlook.h"
 
 #include <compare>
 #include <cstdint>
@@ -23,6 +24,7 @@
   /** Higher for workers whose recent runs failed or were slow; 0 for none.
    * Workers with a higher penalty are used last. */
   std::int32_t Penalty() const { return this->penalty; }
+  const WorkerOutlook& Outlook() const { return this->outlook; }
 
   auto operator<=>(const CandidateWorker&) const = default;
 
@@ -35,6 +37,7 @@
   Resources total;
   std::int32_t maxTasks = 0;
   std::int32_t penalty = 0;
+  WorkerOutlook outlook;
 };
 
 }
--- a/zones/candidate_worker_builder.cpp
+++ b/zones/candidate_worker_builder.cpp
@@ -48,6 +48,13 @@
   return *this;
 }
 
+CandidateWorkerBuilder&
+CandidateWorkerBuilder::Outlook(WorkerOutlook aOutlook)
+{
+  this->value.outlook = aOutlook;
+  return *this;
+}
+
 std::optional<CandidateWorker>
 CandidateWorkerBuilder::Build(Reason& aReason) const
 {
--- a/zones/candidate_worker_builder.h
+++ b/zones/candidate_worker_builder.h
@@ -19,6 +19,7 @@
   CandidateWorkerBuilder& Total(Resources aTotal);
   CandidateWorkerBuilder& MaxTasks(std::int32_t aMax);
   CandidateWorkerBuilder& Penalty(std::int32_t aPenalty);
+  CandidateWorkerBuilder& Outlook(WorkerOutlook aOutlook);
   std::optional<CandidateWorker> Build(Reason& aReason) const;
 
 private:
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -165,6 +165,12 @@
   return found == this->workers.end() ? nullptr : &found->second;
 }
 
+WorkerOutlook
+DomainState::OutlookOf(const TrackedWorker& /*aWorker*/) const
+{
+  return WorkerOutlook();
+}
+
 bool
 DomainState::MayStillRun(const WorkerName& aWorker, Instant aNow) const
 {
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -11,6 +11,7 @@
 #include "zones/stop_order.h"
 #include "zones/tracked_job.h"
 #include "zones/tracked_worker.h"
+#include "zones/worker_outlook.h"
 
 #include <cstdint>
 #include <map>
@@ -71,6 +72,8 @@
   {
     return this->workers;
   }
+  /** What placement takes into account of the worker. */
+  WorkerOutlook OutlookOf(const TrackedWorker& aWorker) const;
   /** Whether a run may still be on the worker, including one that an earlier
    * holder started. */
   bool MayStillRun(const WorkerName& aWorker, Instant aNow) const;
--- a/zones/placement_request.h
+++ b/zones/placement_request.h
@@ -2,6 +2,7 @@
 
 #include "core/names.h"
 #include "machines/resources.h"
+#include "zones/pace/pace_preference.h"
 
 #include <compare>
 #include <cstdint>
@@ -20,6 +21,7 @@
   const RackName& Rack() const { return this->rack; }
   /** Whether all tasks must share one rack. */
   bool RequiresOneRack() const { return this->requiresOneRack; }
+  PacePreference Pace() const { return this->pace; }
 
   auto operator<=>(const PlacementRequest&) const = default;
 
@@ -30,6 +32,7 @@
   std::int32_t count = 1;
   RackName rack;
   bool requiresOneRack = false;
+  PacePreference pace = PacePreference::kNone;
 };
 
 }
--- a/zones/placement_request_builder.cpp
+++ b/zones/placement_request_builder.cpp
@@ -34,6 +34,13 @@
   return *this;
 }
 
+PlacementRequestBuilder&
+PlacementRequestBuilder::Pace(PacePreference aPreference)
+{
+  this->value.pace = aPreference;
+  return *this;
+}
+
 std::optional<PlacementRequest>
 PlacementRequestBuilder::Build(Reason& aReason) const
 {
--- a/zones/placement_request_builder.h
+++ b/zones/placement_request_builder.h
@@ -17,6 +17,7 @@
   PlacementRequestBuilder& Count(std::int32_t aCount);
   PlacementRequestBuilder& Rack(RackName aRack);
   PlacementRequestBuilder& RequiresOneRack(bool aRequiresOneRack);
+  PlacementRequestBuilder& Pace(PacePreference aPreference);
   std::optional<PlacementRequest> Build(Reason& aReason) const;
 
 private:
--- a/zones/placement_view.cpp
+++ b/zones/placement_view.cpp
@@ -66,7 +66,8 @@
 PlacementView::MayTakeWork(const TrackedWorker& aWorker) const
 {
   return aWorker.Listed() && !aWorker.Listing().IsLeaving() &&
-         !aWorker.IsReplaced() && !aWorker.IsRefusingStarts(this->now) &&
+         this->domain->OutlookOf(aWorker).IsOpen() && !aWorker.IsReplaced() &&
+         !aWorker.IsRefusingStarts(this->now) &&
          aWorker.IsIncarnationConfirmed() &&
          this->now < aWorker.LastReport() + kMaxReportAge;
 }
@@ -84,6 +85,7 @@
     .Total(listing.Capacity())
     .MaxTasks(kNoLimit)
     .Penalty(aWorker.Penalty(this->now))
+    .Outlook(this->domain->OutlookOf(aWorker))
     .Build(ignored)
     .value_or(CandidateWorker());
 }
@@ -135,6 +137,7 @@
     .Total(aWorker.Total())
     .MaxTasks(maxTasks)
     .Penalty(aWorker.Penalty())
+    .Outlook(aWorker.Outlook())
     .Build(ignored)
     .value_or(aWorker);
 }
