--- a/codecs/domain_host_settings_yaml.cpp
+++ b/codecs/domain_host_settings_yaml.cpp
@@ -51,6 +51,13 @@
       ReadDuration(aTiming, "reclaim_ms", defaults.ReclaimTime()));
     timing.RevokeTime(
       ReadDuration(aTiming, "revoke_ms", defaults.RevokeTime()));
+    // A platform without such a limit leaves the value empty.
+    if (aTiming.IsEmpty("evacuate_ms")) {
+      timing.EvacuateTime(std::nullopt);
+    } else {
+      timing.EvacuateTime(ReadDuration(
+        aTiming, "evacuate_ms", DomainTimingBuilder::kMinEvacuateTime));
+    }
     timing.FinalJobRetention(
       ReadDuration(aTiming, "keep_final_ms", defaults.FinalJobRetention()));
   });
--- a/codecs/yaml_reader.cpp
+++ b/codecs/yaml_reader.cpp
@@ -266,6 +266,13 @@
   return this->node->IsMap() && (*this->node)[aKey].IsDefined();
 }
 
+bool
+YamlReader::IsEmpty(const std::string& aKey)
+{
+  const YAML::Node value = this->ReadNode(aKey);
+  return !value.IsDefined() || value.IsNull();
+}
+
 int
 YamlReader::LineOfKey(const std::string& aKey) const
 {
--- a/codecs/yaml_reader.h
+++ b/codecs/yaml_reader.h
@@ -80,6 +80,9 @@
   void Section(const std::string& aKey,
                const std::function<void(YamlReader&)>& aVisit);
 
+  /** True when the mapping has no aKey or an empty value there; counts as
+   * reading it. */
+  bool IsEmpty(const std::string& aKey);
   /** True when the mapping has aKey, also with an empty value. */
   bool Has(const std::string& aKey) const;
   /** Line of the mapping or of its name in the file, counted from 1. */
--- a/contracts/domain_timing.h
+++ b/contracts/domain_timing.h
@@ -3,6 +3,7 @@
 #include "core/instant.h"
 
 #include <compare>
+#include <optional>
 
 namespace sardinecourse {
 
@@ -14,6 +15,10 @@
    * expired. During an outage of the store no process can take over, so the
    * work goes on. The next holder waits for this time as well. */
   static constexpr Milliseconds kRenewalGrace{ 4000 };
+  /** A worker refuses a start that reaches it later than this after it was
+   * sent. The window exceeds the timeout of the order, so a start that arrives
+   * in time is never refused. */
+  static constexpr Milliseconds kStartWindow{ 1500 };
 
   /** How long after a renewal the holder has the domain exclusively. */
   Milliseconds HolderLease() const { return this->holderLease; }
@@ -34,6 +39,12 @@
   Milliseconds ReclaimTime() const { return this->reclaimTime; }
   /** Max time until every host rejects a revoked key. */
   Milliseconds RevokeTime() const { return this->revokeTime; }
+  /** Max time until no host starts anything in an evacuated data centre; empty
+   * when there is no such limit. */
+  const std::optional<Milliseconds>& EvacuateTime() const
+  {
+    return this->evacuateTime;
+  }
   /** How long the state of a finished, failed or cancelled job is kept. */
   Milliseconds FinalJobRetention() const { return this->finalJobRetention; }
   /** Factor by which tasks run longer outside the rack that they prefer. */
@@ -50,6 +61,7 @@
   Milliseconds stopTime{ 900 };
   Milliseconds reclaimTime{ 3000 };
   Milliseconds revokeTime{ 5000 };
+  std::optional<Milliseconds> evacuateTime;
   Milliseconds finalJobRetention{ 180000 };
   double remoteSlowdown = 3.0;
 };
--- a/contracts/domain_timing_builder.cpp
+++ b/contracts/domain_timing_builder.cpp
@@ -2,6 +2,7 @@
 
 #include "core/reason.h"
 
+#include <string>
 #include <utility>
 
 namespace sardinecourse {
@@ -48,6 +49,13 @@
   return *this;
 }
 
+DomainTimingBuilder&
+DomainTimingBuilder::EvacuateTime(std::optional<Milliseconds> aEvacuateTime)
+{
+  this->value.evacuateTime = aEvacuateTime;
+  return *this;
+}
+
 DomainTimingBuilder&
 DomainTimingBuilder::FinalJobRetention(Milliseconds aFinalJobRetention)
 {
@@ -76,6 +84,14 @@
              "leases, restart, reclaim and revoke time must be positive");
     return std::nullopt;
   }
+  if (this->value.evacuateTime &&
+      *this->value.evacuateTime < kMinEvacuateTime) {
+    aReason = Reason(Step::kSettings,
+                     "",
+                     "the evacuate time must be at least " +
+                       std::to_string(kMinEvacuateTime.count()) + " ms");
+    return std::nullopt;
+  }
   return this->value;
 }
 
--- a/daemon/domain_daemon.cpp
+++ b/daemon/domain_daemon.cpp
@@ -30,14 +30,21 @@
   , reloadSignals(this->control, SIGHUP)
   , store(this->control, this->host.Store())
   , workers(this->control)
-  , catalogWatcher(this->control,
-                   this->store,
-                   this->catalog,
-                   [this](const ServiceCatalog& aCatalog) {
-                     if (this->holder) {
-                       this->holder->Adopt(aCatalog);
-                     }
-                   })
+  , catalogWatcher(
+      this->control,
+      this->store,
+      this->catalog,
+      [this](const ServiceCatalog& aCatalog) {
+        if (this->holder) {
+          this->holder->Adopt(aCatalog);
+        }
+      },
+      [this](const EvacuationView& aEvacuations) {
+        this->metrics.SetClosedDataCentres(aEvacuations.Closed().size());
+        if (this->holder) {
+          this->holder->Adopt(aEvacuations);
+        }
+      })
   , metricsHandler(this->metrics)
   , metricsServer(this->control, this->metricsHandler)
   , readiness([this] { return this->IsReady(); })
@@ -239,7 +246,7 @@
                                           callbacks);
   // Copied, because a read section must not stay open while the holder starts.
   const ServiceCatalog catalog = *this->catalog.Read();
-  this->holder->Start(catalog);
+  this->holder->Start(catalog, this->catalogWatcher.Evacuations());
 }
 
 void
--- a/machines/worker_listing.h
+++ b/machines/worker_listing.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/instant.h"
 #include "core/names.h"
 #include "machines/resources.h"
 
@@ -27,6 +28,9 @@
   /** True when it takes no new work because it will be shut down. */
   bool IsLeaving() const { return this->isLeaving; }
 
+  /** How much longer the worker is slow after its start, when it was listed. */
+  Milliseconds ColdLeft() const { return this->coldLeft; }
+
   auto operator<=>(const WorkerListing&) const = default;
 
 private:
@@ -40,6 +44,7 @@
   std::vector<std::string> labels;
   Resources capacity;
   bool isLeaving = false;
+  Milliseconds coldLeft{ 0 };
 };
 
 }
--- a/machines/worker_listing_builder.cpp
+++ b/machines/worker_listing_builder.cpp
@@ -62,6 +62,13 @@
   return *this;
 }
 
+WorkerListingBuilder&
+WorkerListingBuilder::ColdLeft(Milliseconds aColdLeft)
+{
+  this->value.coldLeft = aColdLeft;
+  return *this;
+}
+
 std::optional<WorkerListing>
 WorkerListingBuilder::Build(Reason& aReason) const
 {
--- a/scheduling/catalog_watcher.h
+++ b/scheduling/catalog_watcher.h
@@ -4,11 +4,11 @@
 #include "core/reason.h"
 #include "links/row_store.h"
 #include "scheduling/current_catalog.h"
+#include "scheduling/evacuation_reader.h"
 #include "scheduling/event_line.h"
 #include "scheduling/pause.h"
 #include "scheduling/platform_schema.h"
 #include "scheduling/row_feed.h"
-#include "scheduling/store_rows.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -18,30 +18,37 @@
 namespace sardinecourse {
 
 /**
- * Follows the configuration in the store and publishes each new version on this
- * host. It long-polls the store with a short limit, so that each answer also
- * confirms that no newer version existed when the request was sent.
+ * Follows the operators' rows in the store: it publishes each new version of
+ * the configuration on this host, and keeps the evacuated data centres. It
+ * long-polls the store with a short limit, so that each answer also confirms
+ * that nothing newer existed when the request was sent.
  */
 template<RowStore Store, PlatformSchema Schema>
 class CatalogWatcher
 {
 public:
   using Adopted = std::function<void(const ServiceCatalog&)>;
+  using Confirmed = std::function<void(const EvacuationView&)>;
 
   CatalogWatcher(boost::asio::io_context& aContext,
                  Store& aStore,
                  CurrentCatalog& aCurrentCatalog,
-                 Adopted aAdopted)
+                 Adopted aAdopted,
+                 Confirmed aConfirmed)
     : context(&aContext)
     , feed(aStore,
            Schema::CatalogTable(),
            Schema::CatalogKey(),
-           AfterKey(Schema::CatalogKey()))
+           Schema::OperatorKeysEnd())
     , currentCatalog(&aCurrentCatalog)
     , adopted(std::move(aAdopted))
+    , confirmed(std::move(aConfirmed))
   {
   }
 
+  /** The evacuated data centres as last confirmed. */
+  const EvacuationView& Evacuations() const { return this->evacuations.View(); }
+
   /** Follows the store; never returns. Failed reads are logged and retried. */
   boost::asio::awaitable<void> Run()
   {
@@ -49,8 +56,12 @@
     while (true) {
       Reason reason;
       const Instant requestedAt = Clock::now();
+      // After a failure the confirmation is overdue, so it isn't delayed by the
+      // wait for a change.
+      const Milliseconds maxWait =
+        isReachable ? kMaxChangeWait : Milliseconds(0);
       const std::optional<RowPage> page =
-        co_await this->feed.Next(kMaxChangeWait, reason);
+        co_await this->feed.Next(maxWait, reason);
       if (!page) {
         if (std::exchange(isReachable, false)) {
           EventLine("store_lost").Field("use", "catalog").Field(reason).Emit();
@@ -99,6 +110,8 @@
       this->AdoptIfNewer(row);
     }
     this->currentCatalog->NoteConfirmed(aRequestedAt);
+    this->evacuations.Apply(aPage, this->feed.IsFullRange(), aRequestedAt);
+    this->confirmed(this->evacuations.View());
   }
 
   void Adopt(const ServiceCatalog& aCatalog)
@@ -125,6 +138,8 @@
   RowFeed<Store> feed;
   CurrentCatalog* currentCatalog;
   Adopted adopted;
+  Confirmed confirmed;
+  EvacuationReader<Schema> evacuations;
   ServiceCatalog current;
 };
 
--- a/scheduling/decision_events.cpp
+++ b/scheduling/decision_events.cpp
@@ -4,6 +4,7 @@
 #include "contracts/event_names.h"
 #include "core/reason.h"
 #include "scheduling/event_line.h"
+#include "zones/evacuation/start_admission.h"
 #include "zones/given_up_runs.h"
 #include "zones/placed_unit.h"
 #include "zones/preempted_unit.h"
@@ -100,6 +101,21 @@
   EmitOutcome(line, aTerm, aOutcome, aReason);
 }
 
+void
+LogWithheld(const StartOrder& aStart,
+            std::int64_t aTerm,
+            StartAdmission aAdmission)
+{
+  EventLine line("start_withheld");
+  AddTask(line, aStart.Task(), aStart.Run());
+  line.Field("worker", aStart.Worker().Text())
+    .Field("cause",
+           aAdmission == StartAdmission::kClosed ? "data_centre_closed"
+                                                 : "not_confirmed")
+    .Field("term", aTerm)
+    .Emit();
+}
+
 void
 LogStop(const StopOrder& aStop,
         std::int64_t aTerm,
--- a/scheduling/decision_events.h
+++ b/scheduling/decision_events.h
@@ -11,6 +11,7 @@
 class Reason;
 class StartOrder;
 class StopOrder;
+enum class StartAdmission : std::uint8_t;
 struct PlacedUnit;
 struct PreemptedUnit;
 struct GivenUpRuns;
@@ -32,6 +33,11 @@
          std::int64_t aTerm,
          OrderOutcome aOutcome,
          const Reason& aReason);
+/** A placed start that is not sent because of an evacuation. */
+void
+LogWithheld(const StartOrder& aStart,
+            std::int64_t aTerm,
+            StartAdmission aAdmission);
 void
 LogStop(const StopOrder& aStop,
         std::int64_t aTerm,
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -57,9 +57,10 @@
   }
 
   /** Starts the loops of the term. */
-  void Start(const ServiceCatalog& aCatalog)
+  void Start(const ServiceCatalog& aCatalog, const EvacuationView& aEvacuations)
   {
     this->Adopt(aCatalog);
+    this->Adopt(aEvacuations);
     this->Spawn([this] { return this->Run(); });
   }
 
@@ -80,6 +81,18 @@
     this->RequestPass();
   }
 
+  /** Applies the evacuated data centres as last confirmed, and requests a
+   * scheduling pass when they changed. */
+  void Adopt(const EvacuationView& aEvacuations)
+  {
+    const bool isChanged =
+      aEvacuations.Closed() != this->Domain().Evacuations().Closed();
+    this->Domain().SetEvacuations(aEvacuations);
+    if (isChanged) {
+      this->RequestPass();
+    }
+  }
+
 private:
   /** Interval of the passes that run without an event, for changes that only
    * depend on time. */
@@ -129,11 +142,10 @@
     if (this->IsExclusivityLost()) {
       return;
     }
-    DomainPass pass(this->Domain(),
-                    this->reservations,
-                    Clock::now(),
-                    WallNow(),
-                    this->policy);
+    const Instant now = Clock::now();
+    this->LogWithheldStarts(now);
+    DomainPass pass(
+      this->Domain(), this->reservations, now, WallNow(), this->policy);
     PassDecisions decisions = pass.Run();
     this->LogDecisions(decisions);
     this->sender.SendStops(decisions.stops);
@@ -141,6 +153,18 @@
     this->writer.Wake();
   }
 
+  /** Logs when starts begin to wait for a confirmation of the evacuated data
+   * centres, and when they go on. */
+  void LogWithheldStarts(Instant aNow)
+  {
+    const bool areWithheld = this->Domain().AreStartsWithheld(aNow);
+    if (std::exchange(this->areStartsWithheld, areWithheld) != areWithheld) {
+      EventLine(areWithheld ? "starts_withheld" : "starts_resumed")
+        .Field("term", this->Number())
+        .Emit();
+    }
+  }
+
   void LogDecisions(const PassDecisions& aDecisions)
   {
     for (const PlacedUnit& placed : aDecisions.placed) {
@@ -160,6 +184,7 @@
   }
 
   DomainPolicy policy;
+  bool areStartsWithheld = false;
   PreemptionReservations reservations;
   WorkerPoller<Term> poller;
   DomainFeeds<Term, Schema> feeds;
--- a/scheduling/domain_metrics.cpp
+++ b/scheduling/domain_metrics.cpp
@@ -22,11 +22,11 @@
 
 constexpr int kCalls = static_cast<int>(JobCall::Kind::kOther) + 1;
 constexpr int kReplies = static_cast<int>(JobReply::Kind::kNotKnown) + 1;
-constexpr std::array<std::string_view, 13> kEvents{
-  "takeovers",          "domain_losses", "starts",      "starts_refused",
-  "starts_unanswered",  "stops",         "preemptions", "looks_failed",
-  "store_calls_failed", "runs_done",     "runs_failed", "runs_lost",
-  "jobs_not_loaded"
+constexpr std::array<std::string_view, 14> kEvents{
+  "takeovers",          "domain_losses",  "starts",      "starts_refused",
+  "starts_unanswered",  "stops",          "preemptions", "looks_failed",
+  "store_calls_failed", "runs_done",      "runs_failed", "runs_lost",
+  "jobs_not_loaded",    "starts_withheld"
 };
 /** Higher priorities are counted with the last one. */
 constexpr int kPriorities = 4;
@@ -67,6 +67,7 @@
   decltype(MakeWaits()) waits = MakeWaits();
   decltype(MakeSilences()) silences = MakeSilences();
   std::array<std::atomic<std::uint64_t>, kEvents.size()> events{};
+  std::atomic<std::size_t> closedDataCentres = 0;
 };
 
 DomainMetrics::Event
@@ -116,6 +117,12 @@
   }
 }
 
+void
+DomainMetrics::SetClosedDataCentres(std::size_t aCount)
+{
+  this->series->closedDataCentres.store(aCount, std::memory_order_relaxed);
+}
+
 void
 DomainMetrics::Count(Event aEvent)
 {
@@ -138,6 +145,11 @@
     text.Counter("sardinecourse_" + std::string(kEvents[event]) + "_total",
                  this->CountOf(static_cast<Event>(event)));
   }
+  constexpr std::string_view kClosed = "sardinecourse_data_centres_closed";
+  text.Type(kClosed, "gauge");
+  text.Value(kClosed,
+             "",
+             this->series->closedDataCentres.load(std::memory_order_relaxed));
   constexpr std::string_view kCallSeconds = "sardinecourse_call_seconds";
   text.Type(kCallSeconds, "histogram");
   for (int call = 0; call < kCalls; ++call) {
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -6,6 +6,7 @@
 #include "core/instant.h"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -33,7 +34,9 @@
     kRunFailed,
     kRunLost,
     /** A stored job that this version cannot load. */
-    kJobNotLoaded
+    kJobNotLoaded,
+    /** A placed start that was not sent because of an evacuation. */
+    kStartWithheld
   };
 
   /** Event as which the outcome of a run is counted. */
@@ -51,6 +54,8 @@
   /** Records runs that were given up after their worker was silent for a time.
    */
   void RecordGivenUp(std::int64_t aRuns, Milliseconds aSilent);
+  /** Sets the number of evacuated data centres. */
+  void SetClosedDataCentres(std::size_t aCount);
   void Count(Event aEvent);
   std::uint64_t CountOf(Event aEvent) const;
 
--- a/scheduling/order_sender.h
+++ b/scheduling/order_sender.h
@@ -42,9 +42,13 @@
     std::move(aStarts.begin(), aStarts.end(), std::back_inserter(this->staged));
   }
 
-  /** Sends the held starts whose progress is stored. */
+  /** Sends the held starts whose progress is stored; none while starts are
+   * withheld. */
   void SendStored()
   {
+    if (this->term->Domain().AreStartsWithheld(Clock::now())) {
+      return;
+    }
     std::vector<StartOrder> waiting;
     for (StartOrder& start : this->staged) {
       const TrackedJob* job = this->term->Domain().FindJob(start.Task().Job());
@@ -67,6 +71,7 @@
       isAllowed ? this->term->Domain().StartDeadlineMs(aStart, Clock::now())
                 : std::nullopt;
     if (!deadlineMs) {
+      this->NoteDropped(aStart);
       this->term->Domain().StartDropped(aStart);
       co_return;
     }
@@ -87,6 +92,16 @@
     }
   }
 
+  void NoteDropped(const StartOrder& aStart)
+  {
+    const StartAdmission admission =
+      this->term->Domain().AdmitStartOn(aStart.Worker(), Clock::now());
+    if (admission != StartAdmission::kOpen) {
+      this->term->Metrics().Count(DomainMetrics::Event::kStartWithheld);
+      LogWithheld(aStart, this->term->Number(), admission);
+    }
+  }
+
   void ApplyStartOutcome(const StartOrder& aStart,
                          OrderOutcome aOutcome,
                          const Reason& aReason)
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(PendingCountRoundTrips);
   CPPUNIT_TEST(Base64RoundTripsAndRefusesInvalidText);
   CPPUNIT_TEST(TextOfAnotherFormIsRefused);
+  CPPUNIT_TEST(EvacuateTimeMayBeEmpty);
   CPPUNIT_TEST(InvalidHostSettingsAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -174,6 +175,20 @@
     }
   }
 
+  /** A platform without a bound for evacuations leaves the value empty. */
+  void EvacuateTimeMayBeEmpty()
+  {
+    Reason reason;
+    for (const char* empty : { "", "timing:\n  evacuate_ms: \n" }) {
+      const auto host = DecodeDomainHostSettings(kHost + empty, "f", reason);
+      CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
+      CPPUNIT_ASSERT(!host->Timing().EvacuateTime());
+    }
+    const auto host = DecodeDomainHostSettings(
+      kHost + "timing:\n  evacuate_ms: 5000\n", "f", reason);
+    CPPUNIT_ASSERT(Milliseconds(5000) == host->Timing().EvacuateTime());
+  }
+
   void InvalidHostSettingsAreRefused()
   {
     Reason reason;
@@ -204,6 +219,9 @@
                                      "policy: {headroom: 2}\n",
                                      "policy: {most_waste: .nan}\n",
                                      "policy: {share_room: 2}\n",
+                                     "timing: {evacuate_ms: 0}\n",
+                                     "timing: {evacuate_ms: 3999}\n",
+                                     "timing: {evacuate_ms: never}\n",
                                      "timing: {stop_ms: 0}\n",
                                      "timing: {restart_s: 0}\n" }) {
       CPPUNIT_ASSERT_MESSAGE(
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -5,6 +5,7 @@
 #include "contracts/table_write_builder.h"
 #include "core/reason.h"
 #include "platform/catalog.h"
+#include "platform/evacuation.h"
 #include "platform/ingress.h"
 #include "platform/job_body.h"
 #include "platform/registry.h"
@@ -57,6 +58,8 @@
   CPPUNIT_TEST(EncodesTransaction);
   CPPUNIT_TEST(LeaseHasAPartOfItsOwn);
   CPPUNIT_TEST(DecodesRowsAndRemovedKeys);
+  CPPUNIT_TEST(LastChangeOfARowCounts);
+  CPPUNIT_TEST(KeyNamesEvacuatedDataCentre);
   CPPUNIT_TEST(UnreadableValueHidesNoOtherRow);
   CPPUNIT_TEST(RetryAfterIsRoundedUpToSeconds);
   CPPUNIT_TEST_SUITE_END();
@@ -120,13 +123,15 @@
     const auto worker = DecodeWorkerListing(
       Row("i-1", R"({"Service":"s1","Addr":"10.0.0.1:8080","Zone":"a",
         "State":"draining","Capacity":{"Cpu":64000,"MemMb":131072,"Gpu":8},
-        "Labels":["a","r1-2"]})"),
+        "Labels":["a","r1-2"],"ColdLeftMs":2500})"),
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), worker.has_value());
     CPPUNIT_ASSERT_EQUAL(std::string("i-1"), worker->Name().Text());
     CPPUNIT_ASSERT_EQUAL(std::string("r1-2"), worker->Rack().Text());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 8 }, worker->Capacity().Accelerators());
     CPPUNIT_ASSERT(worker->IsLeaving());
+    CPPUNIT_ASSERT(Milliseconds(2500) == worker->ColdLeft());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), worker->DataCentre().Text());
   }
 
   void InvalidWorkerEntryIsRefused()
@@ -342,6 +347,37 @@
     CPPUNIT_ASSERT(page->HasMore());
   }
 
+  /** Taken apart from their order, the first two changes would open an
+   * evacuated data centre again. */
+  void LastChangeOfARowCounts()
+  {
+    Reason reason;
+    const auto page = DecodePage(
+      R"({"rows":[{"Table":"t","part":"","Key":"back","Ver":3,"Removed":true},
+        {"Table":"t","part":"","Key":"back","Value":"","Ver":4},
+        {"Table":"t","part":"","Key":"gone","Value":"","Ver":5},
+        {"Table":"t","part":"","Key":"gone","Ver":6,"Removed":true}],
+        "Ver":6})",
+      reason);
+    CPPUNIT_ASSERT(page);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, page->Rows().size());
+    CPPUNIT_ASSERT_EQUAL(std::string("back"), page->Rows()[0].Key());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, page->RemovedKeys().size());
+    CPPUNIT_ASSERT_EQUAL(std::string("gone"), page->RemovedKeys()[0]);
+  }
+
+  void KeyNamesEvacuatedDataCentre()
+  {
+    CPPUNIT_ASSERT(EvacuatedDataCentre("evacuate/a-b") ==
+                   DataCentreName("a-b"));
+    for (const char* key :
+         { "", "config", "evacuate", "evacuate/", "wave/1" }) {
+      CPPUNIT_ASSERT_MESSAGE(key, !EvacuatedDataCentre(key));
+    }
+    CPPUNIT_ASSERT(kCatalogKey < kOperatorKeysEnd &&
+                   "evacuate/\xff" < kOperatorKeysEnd);
+  }
+
   /** Another writer's row may hold bytes that are not base64. A page that is
    * refused for it would be read again and again, and nothing would be
    * followed any more. */
--- a/tests/scheduling/domain_fuzz_test.cpp
+++ b/tests/scheduling/domain_fuzz_test.cpp
@@ -1,3 +1,4 @@
+#include "contracts/domain_timing_builder.h"
 #include "tests/scheduling/domain_world.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -15,6 +16,7 @@
 
 /** The rarest fault found so far took 5,000 histories to appear. */
 constexpr int kRounds = 60;
+constexpr int kEvacuationRounds = 20;
 
 enum class Act : std::uint8_t
 {
@@ -33,7 +35,12 @@
   kCutWorker,
   kHealWorkers,
   kStoreDown,
-  kStoreUp
+  kStoreUp,
+  kEvacuate,
+  kTakeBack,
+  kHolderBlind,
+  kNextBlind,
+  kAllSee
 };
 
 /** One action of a history, with the parameters that it may use. */
@@ -63,27 +70,56 @@
                                                 { 1, OrderFault::kLost } });
 }
 
+rc::Gen<Act>
+GenAct()
+{
+  return rc::gen::weightedElement<Act>({ { 12, Act::kPass },
+                                         { 6, Act::kPoll },
+                                         { 8, Act::kPollAll },
+                                         { 12, Act::kAdvance },
+                                         { 3, Act::kSubmitTasks },
+                                         { 3, Act::kSubmitGang },
+                                         { 1, Act::kSubmitFailing },
+                                         { 2, Act::kSubmitRecovering },
+                                         { 1, Act::kCancel },
+                                         { 1, Act::kTakeOver },
+                                         { 1, Act::kRestartWorker },
+                                         { 1, Act::kReplaceWorker },
+                                         { 1, Act::kCutWorker },
+                                         { 1, Act::kHealWorkers },
+                                         { 1, Act::kStoreDown },
+                                         { 2, Act::kStoreUp } });
+}
+
+/** Time passes in most of these, because only a start seconds after the
+ * request violates an evacuation. */
+rc::Gen<Act>
+GenEvacuationAct()
+{
+  return rc::gen::weightedElement<Act>({ { 10, Act::kPass },
+                                         { 10, Act::kPollAll },
+                                         { 14, Act::kAdvance },
+                                         { 5, Act::kSubmitTasks },
+                                         { 3, Act::kSubmitGang },
+                                         { 2, Act::kSubmitRecovering },
+                                         { 1, Act::kCancel },
+                                         { 1, Act::kTakeOver },
+                                         { 1, Act::kRestartWorker },
+                                         { 1, Act::kReplaceWorker },
+                                         { 1, Act::kStoreDown },
+                                         { 3, Act::kStoreUp },
+                                         { 4, Act::kEvacuate },
+                                         { 1, Act::kTakeBack },
+                                         { 1, Act::kHolderBlind },
+                                         { 1, Act::kNextBlind },
+                                         { 1, Act::kAllSee } });
+}
+
 rc::Gen<Action>
-GenAction()
+GenAction(rc::Gen<Act> aAct)
 {
   return rc::gen::build<Action>(
-    rc::gen::set(&Action::act,
-                 rc::gen::weightedElement<Act>({ { 12, Act::kPass },
-                                                 { 6, Act::kPoll },
-                                                 { 8, Act::kPollAll },
-                                                 { 12, Act::kAdvance },
-                                                 { 3, Act::kSubmitTasks },
-                                                 { 3, Act::kSubmitGang },
-                                                 { 1, Act::kSubmitFailing },
-                                                 { 2, Act::kSubmitRecovering },
-                                                 { 1, Act::kCancel },
-                                                 { 1, Act::kTakeOver },
-                                                 { 1, Act::kRestartWorker },
-                                                 { 1, Act::kReplaceWorker },
-                                                 { 1, Act::kCutWorker },
-                                                 { 1, Act::kHealWorkers },
-                                                 { 1, Act::kStoreDown },
-                                                 { 2, Act::kStoreUp } })),
+    rc::gen::set(&Action::act, std::move(aAct)),
     rc::gen::set(&Action::number, rc::gen::inRange(0, 1000)),
     rc::gen::set(&Action::faults,
                  rc::gen::container<std::vector<OrderFault>>(6, GenFault())));
@@ -99,7 +135,12 @@
 class Player
 {
 public:
-  DomainWorld world{ kWorkers, kWorkersPerRack };
+  explicit Player(DomainTiming aTiming = DomainTiming())
+    : world(kWorkers, kWorkersPerRack, aTiming)
+  {
+  }
+
+  DomainWorld world;
   std::map<std::string, bool> failing;
   std::set<std::string> cancelled;
 
@@ -161,6 +202,27 @@
       case Act::kStoreUp:
         this->world.isStoreDown = false;
         break;
+      case Act::kEvacuate:
+        // No row can be written while the store is down.
+        if (!this->world.isStoreDown) {
+          this->world.Evacuate(aAction.number % 2 == 0 ? "d0" : "d1");
+        }
+        break;
+      case Act::kTakeBack:
+        if (!this->world.isStoreDown) {
+          this->world.TakeBack(aAction.number % 2 == 0 ? "d0" : "d1");
+        }
+        break;
+      case Act::kHolderBlind:
+        this->world.isHolderBlind = true;
+        break;
+      case Act::kNextBlind:
+        this->world.isNextBlind = true;
+        break;
+      case Act::kAllSee:
+        this->world.isHolderBlind = false;
+        this->world.isNextBlind = false;
+        break;
     }
   }
 
@@ -216,25 +278,45 @@
 {
   CPPUNIT_TEST_SUITE(DomainFuzzTest);
   CPPUNIT_TEST(RandomFaultsKeepInvariantsAndAllJobsEnd);
+  CPPUNIT_TEST(NothingStartsInEvacuatedDataCentre);
   CPPUNIT_TEST_SUITE_END();
 
 public:
   void RandomFaultsKeepInvariantsAndAllJobsEnd()
   {
     for (int round = 0; round < kRounds; ++round) {
-      CPPUNIT_ASSERT(rc::check("a scheduling domain", CheckHistory));
+      CPPUNIT_ASSERT(rc::check("a scheduling domain", [] {
+        CheckHistory(GenAct(), 120, DomainTiming());
+      }));
+    }
+  }
+
+  /** Evacuations begin and end at any moment of such a history, also while a
+   * host cannot read them. */
+  void NothingStartsInEvacuatedDataCentre()
+  {
+    const DomainTiming timing =
+      Valid(DomainTimingBuilder().EvacuateTime(Milliseconds(5000)));
+    for (int round = 0; round < kEvacuationRounds; ++round) {
+      CPPUNIT_ASSERT(rc::check("an evacuated data centre", [&timing] {
+        CheckHistory(GenEvacuationAct(), 240, timing);
+      }));
     }
   }
 
 private:
-  static void CheckHistory()
+  static void CheckHistory(rc::Gen<Act> aAct,
+                           int aMaxActions,
+                           DomainTiming aTiming)
   {
     const auto actions = *rc::gen::container<std::vector<Action>>(
-      *rc::gen::inRange(10, 120), GenAction());
-    Player player;
+      *rc::gen::inRange(10, aMaxActions), GenAction(std::move(aAct)));
+    Player player(aTiming);
     for (const Action& action : actions) {
       player.Play(action);
     }
+    player.world.TakeBack("d0");
+    player.world.TakeBack("d1");
     const bool isSettled = player.world.Settle(kSettleMs);
     for (const std::string& violation : player.world.site.Violations()) {
       RC_LOG(violation);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -6,6 +6,7 @@
 #include "contracts/task_address_builder.h"
 #include "contracts/worker_report_builder.h"
 #include "zones/domain_pass.h"
+#include "zones/evacuation/evacuation_view_builder.h"
 
 #include <algorithm>
 #include <utility>
@@ -93,6 +94,7 @@
     SiteWorker made;
     made.name = "w" + std::to_string(worker);
     made.rack = "r" + std::to_string(worker / aWorkersPerRack);
+    made.dataCentre = "d" + std::to_string(worker / aWorkersPerRack);
     made.maxLeaseMs = this->timing.WorkerLease().count();
     this->site.workers[made.name] = made;
   }
@@ -159,6 +161,43 @@
   stored.revision = ++this->revision;
 }
 
+WorkerListing
+DomainWorld::ListingOf(const SiteWorker& aWorker, bool aIsLeaving)
+{
+  return MakeListing(
+    aWorker.name, aWorker.rack, aIsLeaving, aWorker.dataCentre);
+}
+
+void
+DomainWorld::Evacuate(const std::string& aDataCentre)
+{
+  this->closed.insert(DataCentreName(aDataCentre));
+  this->site.Evacuate(aDataCentre, this->timing.EvacuateTime().value().count());
+}
+
+void
+DomainWorld::TakeBack(const std::string& aDataCentre)
+{
+  this->closed.erase(DataCentreName(aDataCentre));
+  this->site.TakeBack(aDataCentre);
+}
+
+void
+DomainWorld::ReadEvacuations()
+{
+  if (this->isStoreDown) {
+    return;
+  }
+  const EvacuationView current = Valid(
+    EvacuationViewBuilder().Closed(this->closed).ConfirmedAt(this->Now()));
+  if (!this->isHolderBlind) {
+    this->domain->SetEvacuations(current);
+  }
+  if (!this->isNextBlind) {
+    this->nextView = current;
+  }
+}
+
 void
 DomainWorld::TakeOver(bool aIsReleased)
 {
@@ -167,9 +206,13 @@
   this->reservations = PreemptionReservations();
   const Instant renewedUntil =
     aIsReleased ? this->Now() : this->Now() + DomainTiming::kRenewalGrace;
+  const EvacuationView formerView =
+    this->domain ? this->domain->Evacuations() : EvacuationView();
   this->domain.emplace(this->timing, this->Now(), renewedUntil);
+  this->domain->SetEvacuations(std::exchange(this->nextView, formerView));
+  std::swap(this->isHolderBlind, this->isNextBlind);
   for (const auto& [name, worker] : this->site.workers) {
-    this->domain->ListWorker(MakeListing(name, worker.rack), this->Now());
+    this->domain->ListWorker(this->ListingOf(worker), this->Now());
   }
   for (const auto& [key, stored] : this->store) {
     this->domain->AddJob(
@@ -218,6 +261,7 @@
     aFaults.pop_back();
     return fault;
   };
+  this->ReadEvacuations();
   DomainPass pass(*this->domain, this->reservations, this->Now(), WallTime());
   const PassDecisions decisions = pass.Run();
   this->givenUp.insert(
@@ -228,6 +272,9 @@
   for (const StopOrder& stop : decisions.stops) {
     this->SendStop(stop, nextFault());
   }
+  if (this->domain->AreStartsWithheld(this->Now())) {
+    return;
+  }
   std::vector<StartOrder> waiting;
   for (const StartOrder& start : this->unsentStarts) {
     const TrackedJob* job = this->domain->FindJob(start.Task().Job());
@@ -373,8 +420,7 @@
 {
   SiteWorker& worker = this->site.workers.at(aWorker);
   worker.isLeaving = true;
-  this->domain->ListWorker(MakeListing(aWorker, worker.rack, true),
-                           this->Now());
+  this->domain->ListWorker(this->ListingOf(worker, true), this->Now());
 }
 
 void
@@ -397,7 +443,7 @@
   this->site.workers[next.name] = next;
   this->DropDelayedOrders(aWorker);
   this->domain->PollFailed(WorkerName(aWorker));
-  this->domain->ListWorker(MakeListing(next.name, next.rack), this->Now());
+  this->domain->ListWorker(this->ListingOf(next), this->Now());
 }
 
 /** Orders that a process has not carried out yet are lost when it ends. */
@@ -423,6 +469,7 @@
 DomainWorld::Advance(std::int64_t aMs)
 {
   constexpr std::int64_t kStepMs = 50;
+  this->ReadEvacuations();
   for (std::int64_t passed = 0; passed < aMs; passed += kStepMs) {
     this->site.Advance(kStepMs);
     std::vector<DelayedOrder> due;
@@ -444,6 +491,8 @@
 DomainWorld::Settle(std::int64_t aLimitMs)
 {
   this->isStoreDown = false;
+  this->isHolderBlind = false;
+  this->isNextBlind = false;
   this->cutOff.clear();
   const auto isOpen = [](const auto& aEntry) {
     return !IsFinal(aEntry.second.progress.State());
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -43,6 +43,10 @@
   bool isStoreDown = false;
   bool isHolderStalled = false;
   std::set<std::string> cutOff;
+  /** Whether the holder, and the host that takes over next, cannot read the
+   * operators' rows. */
+  bool isHolderBlind = false;
+  bool isNextBlind = false;
   /** Runs that the passes gave up because of their worker's lease. */
   std::vector<GivenUpRuns> givenUp;
 
@@ -55,6 +59,10 @@
   /** Stores a cancellation by the caller; the holder finds it during its next
    * pass. */
   void Cancel(const std::string& aJob);
+  /** Requests the evacuation of a data centre, or takes it back. Each rack is
+   * a data centre of its own: rack "r0" is in "d0". */
+  void Evacuate(const std::string& aDataCentre);
+  void TakeBack(const std::string& aDataCentre);
   /** Makes another process the holder, after the release or the loss of the
    * present one; orders on their way remain. */
   void TakeOver(bool aIsReleased = false);
@@ -98,6 +106,10 @@
     std::function<void()> execute;
   };
 
+  static WorkerListing ListingOf(const SiteWorker& aWorker,
+                                 bool aIsLeaving = false);
+  /** Has the hosts that can reach the store read the evacuated data centres. */
+  void ReadEvacuations();
   void Store();
   void StoreJob(const JobKey& aKey);
   void SendStart(const StartOrder& aOrder, OrderFault aFault);
@@ -117,6 +129,8 @@
   PreemptionReservations reservations;
   std::vector<StartOrder> unsentStarts;
   std::vector<DelayedOrder> delayedOrders;
+  std::set<DataCentreName> closed;
+  EvacuationView nextView;
   std::int64_t lastIncarnation = 1000;
 };
 
--- a/tests/scheduling/fake_row_store.h
+++ b/tests/scheduling/fake_row_store.h
@@ -44,7 +44,9 @@
   int failingReads = 0;
   /** Called once, before the next transaction is processed. */
   std::function<void()> beforeCommit;
-  /** Called in turn, one before each read. */
+  /** Changes are answered with the loss of the history. */
+  bool isHistoryLost = false;
+  /** Called in turn, one before each read or list of changes. */
   std::deque<std::function<void()>> beforeReads;
   int commits = 0;
   /** Transactions that exceeded a limit of the platform's store. */
@@ -55,11 +57,7 @@
                                                       std::string aTo,
                                                       Reason& aReason)
   {
-    if (!this->beforeReads.empty()) {
-      const auto hook = this->beforeReads.front();
-      this->beforeReads.pop_front();
-      hook();
-    }
+    this->RunReadHook();
     if (this->isDown) {
       aReason = Reason(Step::kPlatformRead, "fake", "down");
       co_return std::nullopt;
@@ -89,6 +87,7 @@
                                                          Milliseconds,
                                                          Reason& aReason)
   {
+    this->RunReadHook();
     if (this->isDown) {
       aReason = Reason(Step::kPlatformRead, "fake", "down");
       co_return std::nullopt;
@@ -99,8 +98,16 @@
         found.push_back(row);
       }
     }
+    std::vector<std::string> removed;
+    for (const auto& [name, removedAt] : this->removals) {
+      if (name.first == aTable && removedAt > aAfter) {
+        removed.push_back(name.second);
+      }
+    }
     auto page = RowPageBuilder()
                   .Rows(std::move(found))
+                  .RemovedKeys(std::move(removed))
+                  .IsHistoryLost(this->isHistoryLost)
                   .Revision(this->revision)
                   .Build(aReason);
     co_return page;
@@ -157,6 +164,7 @@
            const std::string& aValue)
   {
     Reason reason;
+    this->removals.erase({ aTable, aKey });
     this->rows[{ aTable, aKey }] = *TableRowBuilder()
                                       .Table(aTable)
                                       .Key(aKey)
@@ -165,6 +173,12 @@
                                       .Build(reason);
   }
 
+  void Remove(const std::string& aTable, const std::string& aKey)
+  {
+    this->rows.erase({ aTable, aKey });
+    this->removals[{ aTable, aKey }] = ++this->revision;
+  }
+
   const TableRow* Find(const std::string& aTable, const std::string& aKey) const
   {
     const auto found = this->rows.find({ aTable, aKey });
@@ -180,6 +194,15 @@
   }
 
 private:
+  void RunReadHook()
+  {
+    if (!this->beforeReads.empty()) {
+      const auto hook = this->beforeReads.front();
+      this->beforeReads.pop_front();
+      hook();
+    }
+  }
+
   static CommitAnswer MakeAnswer(WriteOutcome aOutcome)
   {
     Reason reason;
@@ -262,6 +285,8 @@
   }
 
   std::map<std::pair<std::string, std::string>, TableRow> rows;
+  /** Revisions of the removals by Remove(). */
+  std::map<std::pair<std::string, std::string>, std::int64_t> removals;
   std::deque<TableTransaction> late;
   std::int64_t revision = 0;
 };
--- a/tests/scheduling/sample_jobs.h
+++ b/tests/scheduling/sample_jobs.h
@@ -81,17 +81,21 @@
 inline WorkerListing
 MakeListing(const std::string& aName,
             const std::string& aRack,
-            bool aIsLeaving = false)
+            bool aIsLeaving = false,
+            const std::string& aDataCentre = "",
+            Milliseconds aColdLeft = Milliseconds(0))
 {
   Reason reason;
   return Valid(WorkerListingBuilder()
                  .Name(WorkerName(aName))
                  .Service(ServiceName("fretdesk"))
                  .Address(*Endpoint::Parse("127.0.0.1:1", reason))
+                 .DataCentre(DataCentreName(aDataCentre))
                  .Rack(RackName(aRack))
                  .Labels({ "a", aRack })
                  .Capacity(MakeResources(64'000, 131'072, 8))
-                 .IsLeaving(aIsLeaving));
+                 .IsLeaving(aIsLeaving)
+                 .ColdLeft(aColdLeft));
 }
 
 }
--- a/tests/soak/domain_soak.cpp
+++ b/tests/soak/domain_soak.cpp
@@ -149,7 +149,10 @@
 Soak(unsigned aSeed, std::chrono::seconds aLength, int aThreads)
 {
   SiteDeployment site(
-    kHosts, kWorkers, "threads: " + std::to_string(aThreads) + "\n");
+    kHosts,
+    kWorkers,
+    "threads: " + std::to_string(aThreads) + "\ntiming: {evacuate_ms: " +
+      std::to_string(SoakFaults::kEvacuateTime.count()) + "}\n");
   for (std::size_t host = 0; host < site.Hosts(); ++host) {
     if (!site.WaitUntilReady(host)) {
       std::cerr << "host" << host << " does not become ready\n";
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -20,6 +20,7 @@
 SoakFaults::SoakFaults(SiteDeployment& aSite, unsigned aSeed)
   : site(&aSite)
   , random(aSeed)
+  , evacuationRandom(aSeed)
   , startedAt(Clock::now())
   , hasProcessFault(aSite.Hosts(), false)
 {
@@ -28,13 +29,20 @@
 void
 SoakFaults::Run(Instant aUntil)
 {
+  std::uniform_int_distribution<int> evacuationPause(1000, 6000);
   Instant next = Clock::now();
+  Instant nextEvacuation = next;
   while (Clock::now() < aUntil) {
     this->EndDue(Clock::now());
     if (Clock::now() >= next) {
       this->Begin();
       next = Clock::now() + this->DrawTime(100, 1200);
     }
+    if (Clock::now() >= nextEvacuation) {
+      this->BeginEvacuation();
+      nextEvacuation =
+        Clock::now() + Milliseconds(evacuationPause(this->evacuationRandom));
+    }
     std::this_thread::sleep_for(kPollInterval);
   }
 }
@@ -190,6 +198,23 @@
   }
 }
 
+void
+SoakFaults::BeginEvacuation()
+{
+  std::uniform_int_distribution<int> time(500, 9000);
+  const std::string dataCentre =
+    "zone-" + std::to_string(this->evacuationRandom() % 2);
+  this->Log("evacuate " + dataCentre);
+  this->site->Control(
+    "evacuate",
+    { { "data_centre", dataCentre }, { "bound_ms", kEvacuateTime.count() } });
+  this->EndAfter(
+    Milliseconds(time(this->evacuationRandom)), [this, dataCentre] {
+      this->Log("take back " + dataCentre);
+      this->site->Control("take_back", { { "data_centre", dataCentre } });
+    });
+}
+
 void
 SoakFaults::EndDue(Instant aNow)
 {
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -18,6 +18,9 @@
 class SoakFaults
 {
 public:
+  /** Bound of the hosts' settings for an evacuation. */
+  static constexpr Milliseconds kEvacuateTime{ 5000 };
+
   SoakFaults(SiteDeployment& aSite, unsigned aSeed);
 
   /** Begins and ends faults until aUntil; some may still be active then. */
@@ -37,6 +40,7 @@
   void BeginLinkFault();
   void BeginStoreFault();
   void BeginWorkerFault();
+  void BeginEvacuation();
   void EndDue(Instant aNow);
   void EndAfter(Milliseconds aTime, std::function<void()> aEnd);
   Milliseconds DrawTime(int aMinMs, int aMaxMs);
@@ -46,6 +50,9 @@
 
   SiteDeployment* site;
   std::mt19937 random;
+  /** Evacuations are drawn apart, so that a seed's other faults stay the same.
+   */
+  std::mt19937 evacuationRandom;
   Instant startedAt;
   std::vector<FaultEnd> faultEnds;
   std::vector<bool> hasProcessFault;
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -21,6 +21,8 @@
 /** Longer than any client's timeout, so that the call hangs for the client. */
 constexpr Milliseconds kHangTime{ 20'000 };
 constexpr int kWorkersPerRack = 3;
+/** Data centres of the workers that the stand-in starts with. */
+constexpr int kDataCentres = 2;
 /** Time after which the entry of a silent worker is removed: three of its
  * heartbeats. */
 constexpr Milliseconds kEntryTime{ 4500 };
@@ -53,7 +55,9 @@
   for (int index = 0; index < aWorkers; ++index) {
     SiteWorker worker;
     worker.name = "i-" + std::to_string(index);
-    worker.rack = "r1-" + std::to_string(index / kWorkersPerRack);
+    const int rack = index / kWorkersPerRack;
+    worker.rack = "r1-" + std::to_string(rack);
+    worker.dataCentre = "zone-" + std::to_string(rack % kDataCentres);
     worker.address = aAddress;
     worker.incarnation = ++this->lastIncarnation;
     this->simulation.workers[worker.name] = worker;
@@ -67,7 +71,7 @@
 {
   json entry = { { "Service", "s1" },
                  { "Addr", aWorker.address },
-                 { "Zone", "zone" },
+                 { "Zone", aWorker.dataCentre },
                  { "State", aWorker.isLeaving ? "draining" : "ready" },
                  { "Capacity",
                    { { "Cpu", aWorker.milliCores },
@@ -281,12 +285,16 @@
 {
   const json speeds = aBody.value("speeds", json::array({ 1.0 }));
   const int perRack = aBody.value("per_rack", kWorkersPerRack);
+  // Racks belong to the data centres by turns.
+  const json dataCentres = aBody.value("data_centres", json::array({ "zone" }));
   for (const json& address : aBody.at("addresses")) {
     const int index = this->addedWorkers++;
     SiteWorker worker;
     worker.name = "w-" + std::to_string(index);
     worker.rack = "rack-" + std::to_string(index / perRack);
     worker.address = address;
+    worker.dataCentre = dataCentres.at(
+      static_cast<std::size_t>(index / perRack) % dataCentres.size());
     worker.milliCores = aBody.value("milli_cores", worker.milliCores);
     worker.memoryMb = aBody.value("memory_mb", worker.memoryMb);
     worker.accelerators = aBody.value("accelerators", worker.accelerators);
@@ -446,6 +454,14 @@
   }
   if (aRequest.target == "/control/config") {
     this->store.Put("op", "config", aRequest.body);
+  } else if (aRequest.target == "/control/evacuate") {
+    const std::string dataCentre = body.value("data_centre", "");
+    this->simulation.Evacuate(dataCentre, body.value("bound_ms", 0));
+    this->store.Put("op", "evacuate/" + dataCentre, "{}");
+  } else if (aRequest.target == "/control/take_back") {
+    const std::string dataCentre = body.value("data_centre", "");
+    this->simulation.TakeBack(dataCentre);
+    this->store.Remove("op", "evacuate/" + dataCentre);
   } else if (aRequest.target == "/control/faults") {
     this->faults = body;
   } else if (aRequest.target == "/control/compact") {
--- a/tests/stand_ins/site_service.h
+++ b/tests/stand_ins/site_service.h
@@ -25,13 +25,14 @@
  * call expects. Tests control it under /control/: "config" stores the site's
  * configuration, "workers" adds workers at given addresses, "step" sets the
  * properties of a step and "job" those of all steps of a job, "forbid" forbids
- * a job, "faults" replaces the faults {store: refuse|hang, silent: WORKER,
- * lose_commits: COUNT, lose_orders: COUNT}, "compact" drops the store's
- * history; "restart", "replace", "leave", "exit" and "reach" apply to a worker.
- * Each of them, and "report", answers with the workers, runs, starts and
- * violations. "job", "follow" and "unfollow", which say whether a job must not
- * idle, answer with nothing; "judge" answers whether a job is done or failed;
- * "idle" with the jobs that idle.
+ * a job, "evacuate" and "take_back" apply to a data centre, "faults" replaces
+ * the faults {store: refuse|hang, silent: WORKER, lose_commits: COUNT,
+ * lose_orders: COUNT}, "compact" drops the store's history; "restart",
+ * "replace", "leave", "exit" and "reach" apply to a worker. Each of them, and
+ * "report", answers with the workers, runs, starts and violations. "job",
+ * "follow" and "unfollow", which say whether a job must not idle, answer with
+ * nothing; "judge" answers whether a job is done or failed; "idle" with the
+ * jobs that idle.
  */
 class SiteService
 {
--- a/tests/stand_ins/site_simulation.cpp
+++ b/tests/stand_ins/site_simulation.cpp
@@ -95,6 +95,11 @@
     this->AddViolation(
       "started after its job was refused or cancelled", aTask, aWorker.name);
   }
+  const auto closed = this->closedFromMs.find(aWorker.dataCentre);
+  if (closed != this->closedFromMs.end() && this->nowMs > closed->second) {
+    this->AddViolation(
+      "started in an evacuated data centre", aTask, aWorker.name);
+  }
   std::int64_t milliCores = 0;
   std::int64_t memoryMb = 0;
   std::int64_t accelerators = 0;
--- a/tests/stand_ins/site_simulation.h
+++ b/tests/stand_ins/site_simulation.h
@@ -43,9 +43,9 @@
 /**
  * Simulates all workers of a site and checks the scheduler's invariants at each
  * start. Recorded as violations: a task that runs twice at the same time,
- * starts after its end was acknowledged, after its last attempt or after its
- * job was forbidden, and a worker over its capacity. Steps are named
- * "JOB.OCCURRENCE.STEP".
+ * starts after its end was acknowledged, after its last attempt, after its job
+ * was forbidden or in an evacuated data centre, and a worker over its capacity.
+ * Steps are named "JOB.OCCURRENCE.STEP".
  */
 class SiteSimulation
 {
@@ -100,6 +100,16 @@
   {
     return this->violations;
   }
+  /** Records any start in the data centre later than aMs from now as a
+   * violation, until it is taken back. A repeated call changes nothing. */
+  void Evacuate(const std::string& aDataCentre, std::int64_t aMs)
+  {
+    this->closedFromMs.try_emplace(aDataCentre, this->nowMs + aMs);
+  }
+  void TakeBack(const std::string& aDataCentre)
+  {
+    this->closedFromMs.erase(aDataCentre);
+  }
   /** Records any later start of the job's tasks as a violation. */
   void Forbid(const std::string& aJob) { this->forbiddenJobs.insert(aJob); }
 
@@ -124,6 +134,8 @@
   std::set<std::string> endedDone;
   std::map<std::string, std::int32_t> endedFailures;
   std::set<std::string> forbiddenJobs;
+  /** Evacuated data centres, with the time from which nothing may start. */
+  std::map<std::string, std::int64_t> closedFromMs;
   std::vector<std::string> violations;
   std::int64_t starts = 0;
 };
--- a/tests/stand_ins/site_worker.h
+++ b/tests/stand_ins/site_worker.h
@@ -62,6 +62,7 @@
 
   std::string name;
   std::string rack;
+  std::string dataCentre = "zone";
   std::string address;
   std::int64_t milliCores = 64'000;
   std::int64_t memoryMb = 131'072;
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -77,6 +77,11 @@
 DomainPass::Run()
 {
   this->reservations->DropExpired(this->now);
+  // Their units would wait for resources that they may not use.
+  this->reservations->DropOn([this](const WorkerName& aWorker) {
+    const TrackedWorker* worker = this->domain->FindWorker(aWorker);
+    return worker != nullptr && !this->domain->OutlookOf(*worker).IsOpen();
+  });
   if (this->domain->IsSweepDue(this->now)) {
     this->decisions.givenUp = RunMonitor(*this->domain, this->now).Run();
   }
@@ -288,8 +293,10 @@
     this->view.CandidatesFor(aJob, aFirst, aFirstRef);
   std::vector<WorkerName> places =
     FindSomePlaces(workers, MakePlacementRequest(step, count, true));
-  if (places.empty() && !step.DataRack().Empty() &&
-      this->Waited(aJob) >= this->MaxLocalityWait(aJob, step)) {
+  const bool mayWait =
+    !this->view.IsClosedRack(aJob.Job().Service(), step.DataRack()) &&
+    this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
+  if (places.empty() && !step.DataRack().Empty() && !mayWait) {
     places = FindSomePlaces(workers, MakePlacementRequest(step, count, false));
   } else if (places.empty() && isOverdue) {
     places = FindSomePlaces(workers, MakePlacementRequest(step, 1, false));
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -7,6 +7,7 @@
 #include "zones/job_intake.h"
 #include "zones/start_order_builder.h"
 #include "zones/stop_order_builder.h"
+#include "zones/worker_outlook_builder.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,10 +16,6 @@
 
 namespace {
 
-/** A worker refuses a start that reaches it later than this. The window exceeds
- * the timeout of the order, so a start that arrives in time is never refused.
- */
-constexpr Milliseconds kStartWindow{ 1500 };
 /** Leases and progress change over seconds, so checks need not be more
  * frequent. */
 constexpr Milliseconds kSweepInterval{ 100 };
@@ -166,9 +163,35 @@
 }
 
 WorkerOutlook
-DomainState::OutlookOf(const TrackedWorker& /*aWorker*/) const
+DomainState::OutlookOf(const TrackedWorker& aWorker) const
 {
-  return WorkerOutlook();
+  Reason ignored; // Pace and disturbance have their defaults.
+  return WorkerOutlookBuilder()
+    .IsOpen(!this->evacuations.IsClosed(aWorker.Listing().DataCentre()))
+    .Build(ignored)
+    .value_or(WorkerOutlook());
+}
+
+void
+DomainState::SetEvacuations(EvacuationView aView)
+{
+  this->evacuations = std::move(aView);
+}
+
+StartAdmission
+DomainState::AdmitStartOn(const WorkerName& aWorker, Instant aNow) const
+{
+  const auto found = this->workers.find(aWorker);
+  const DataCentreName dataCentre = found == this->workers.end()
+                                      ? DataCentreName()
+                                      : found->second.Listing().DataCentre();
+  return AdmitStart(dataCentre, this->evacuations, this->timing, aNow);
+}
+
+bool
+DomainState::AreStartsWithheld(Instant aNow) const
+{
+  return !IsCurrent(this->evacuations, this->timing, aNow);
 }
 
 bool
@@ -444,10 +467,12 @@
                              member != nullptr &&
                              member->phase == MemberPhase::kOrdered &&
                              !member->stopSentAt && worker != nullptr;
-  if (!isStillNeeded) {
+  if (!isStillNeeded ||
+      this->AdmitStartOn(aOrder.Worker(), aNow) != StartAdmission::kOpen) {
     return std::nullopt;
   }
-  member->startDeadlineMs = worker->ClockAt(aNow) + kStartWindow.count();
+  member->startDeadlineMs =
+    worker->ClockAt(aNow) + DomainTiming::kStartWindow.count();
   worker->RecordLease(member->startDeadlineMs);
   return member->startDeadlineMs;
 }
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -6,6 +6,8 @@
 #include "contracts/task_address.h"
 #include "core/instant.h"
 #include "core/names.h"
+#include "zones/evacuation/evacuation_view.h"
+#include "zones/evacuation/start_admission.h"
 #include "zones/queue_run_times.h"
 #include "zones/start_order.h"
 #include "zones/stop_order.h"
@@ -64,6 +66,14 @@
   /** Names of the queues in force, by address. */
   void SetQueueNames(std::map<QueueAddress, QueueName> aNames);
 
+  /** The evacuated data centres, whose workers get no new tasks. */
+  void SetEvacuations(EvacuationView aView);
+  const EvacuationView& Evacuations() const { return this->evacuations; }
+  /** Whether a start may be sent to the worker. */
+  StartAdmission AdmitStartOn(const WorkerName& aWorker, Instant aNow) const;
+  /** Whether starts wait until the evacuated data centres are confirmed. */
+  bool AreStartsWithheld(Instant aNow) const;
+
   void ListWorker(const WorkerListing& aListing, Instant aNow);
   void UnlistWorker(const WorkerName& aWorker);
   TrackedWorker* FindWorker(const WorkerName& aWorker);
@@ -88,7 +98,8 @@
                                      Instant aSent,
                                      Instant aReceived);
   /** Time on the worker's clock, in ms, from which the worker refuses the start
-   * that is about to be sent; empty when the start is not needed any more. */
+   * that is about to be sent; empty when the start is not needed any more or
+   * must not be sent to the worker. */
   std::optional<std::int64_t> StartDeadlineMs(const StartOrder& aOrder,
                                               Instant aNow);
   /** Time on the worker's clock, in ms, until which a poll renews the worker's
@@ -199,6 +210,7 @@
   std::map<TeamName, std::int64_t> guarantees;
   std::map<QueueAddress, QueueName> queueNames;
   std::vector<StopOrder> orphans;
+  EvacuationView evacuations;
   QueueRunTimes runTimes;
   Instant lastSweep{};
 };
--- a/zones/placement_view.cpp
+++ b/zones/placement_view.cpp
@@ -18,6 +18,13 @@
 constexpr Milliseconds kMaxReportAge{ 2800 };
 constexpr std::int32_t kNoLimit = std::numeric_limits<std::int32_t>::max();
 
+/** Urgent work uses cold workers last. */
+bool
+IsUrgent(const TrackedJob& aJob)
+{
+  return aJob.Job().Priority() == 0;
+}
+
 bool
 NeedsNoMoreThan(const PlacementRequest& aLess, const PlacementRequest& aMore)
 {
@@ -45,15 +52,23 @@
 {
   const auto [position, isNew] = this->pools.try_emplace(aService);
   Pool& pool = position->second;
-  if (isNew) {
+  if (isNew && !this->domain->AreStartsWithheld(this->now)) {
     const std::map<WorkerName, Resources> reserved =
       this->reservations->ReservedByWorker();
     for (const auto& [name, worker] : this->domain->Workers()) {
-      if (worker.Listing().Service() == aService && this->MayTakeWork(worker)) {
+      if (worker.Listing().Service() != aService) {
+        continue;
+      }
+      if (!this->domain->OutlookOf(worker).IsOpen()) {
+        pool.closedRacks.insert(worker.Listing().Rack());
+        continue;
+      }
+      if (this->MayTakeWork(worker)) {
         const auto found = reserved.find(name);
         pool.workers.push_back(this->MakeCandidate(
           worker, found == reserved.end() ? Resources() : found->second));
         const CandidateWorker& candidate = pool.workers.back();
+        pool.hasColdWorkers = pool.hasColdWorkers || worker.IsCold(this->now);
         pool.freeAccelerators += candidate.Free().Accelerators();
         pool.totalAccelerators += candidate.Total().Accelerators();
       }
@@ -66,8 +81,7 @@
 PlacementView::MayTakeWork(const TrackedWorker& aWorker) const
 {
   return aWorker.Listed() && !aWorker.Listing().IsLeaving() &&
-         this->domain->OutlookOf(aWorker).IsOpen() && !aWorker.IsReplaced() &&
-         !aWorker.IsRefusingStarts(this->now) &&
+         !aWorker.IsReplaced() && !aWorker.IsRefusingStarts(this->now) &&
          aWorker.IsIncarnationConfirmed() &&
          this->now < aWorker.LastReport() + kMaxReportAge;
 }
@@ -128,6 +142,7 @@
       ? kNoLimit
       : step.MaxTasksPerWorker() -
           worker.CountOf(DomainState::AddressOf(aJob, aUnit, aUnit.First()));
+  const bool isAvoided = IsUrgent(aJob) && worker.IsCold(this->now);
   Reason ignored; // Only the name is checked, and it is set.
   return CandidateWorkerBuilder()
     .Name(aWorker.Name())
@@ -136,7 +151,7 @@
       this->reservations->ReservedForOthers(aWorker.Name(), aRef)))
     .Total(aWorker.Total())
     .MaxTasks(maxTasks)
-    .Penalty(aWorker.Penalty())
+    .Penalty(aWorker.Penalty() + (isAvoided ? 1 : 0))
     .Outlook(aWorker.Outlook())
     .Build(ignored)
     .value_or(aWorker);
@@ -176,6 +191,12 @@
   return this->PoolOf(aService).totalAccelerators;
 }
 
+bool
+PlacementView::IsClosedRack(const ServiceName& aService, const RackName& aRack)
+{
+  return this->PoolOf(aService).closedRacks.contains(aRack);
+}
+
 bool
 PlacementView::HasAmpleRoom(const TrackedJob& aJob,
                             const TaskUnit& aUnit,
@@ -192,11 +213,12 @@
 bool
 PlacementView::IsUnrestricted(const TrackedJob& aJob,
                               const TaskUnit& aUnit,
-                              const UnitRef& aRef) const
+                              const UnitRef& aRef)
 {
   const JobStep& step = aJob.StepOf(aUnit);
   return step.Label().empty() && step.MaxTasksPerWorker() == 0 &&
-         !this->reservations->HasReservation(aRef);
+         !this->reservations->HasReservation(aRef) &&
+         !(IsUrgent(aJob) && this->PoolOf(aJob.Job().Service()).hasColdWorkers);
 }
 
 std::optional<std::vector<WorkerName>>
--- a/zones/placement_view.h
+++ b/zones/placement_view.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace sardinecourse {
@@ -20,7 +21,8 @@
 class TrackedWorker;
 struct UnitRef;
 
-/** The workers of a domain that accept new tasks, during one scheduling pass.
+/** The workers of a domain that accept new tasks, during one scheduling pass;
+ * none while starts are withheld.
  * The list is built once for each service and updated as the pass starts tasks,
  * because rebuilding it for each unit takes most of the time of a pass with a
  * thousand workers. */
@@ -50,6 +52,8 @@
 
   std::int64_t FreeAccelerators(const ServiceName& aService);
   std::int64_t TotalAccelerators(const ServiceName& aService);
+  /** Whether the rack has workers of the service that are not open to work. */
+  bool IsClosedRack(const ServiceName& aService, const RackName& aRack);
   /** Whether the unit fits twice into what is free, in any racks. */
   bool HasAmpleRoom(const TrackedJob& aJob,
                     const TaskUnit& aUnit,
@@ -60,16 +64,18 @@
   {
     std::vector<CandidateWorker> workers;
     std::vector<PlacementRequest> failed;
+    std::set<RackName> closedRacks;
     std::int64_t freeAccelerators = 0;
     std::int64_t totalAccelerators = 0;
+    bool hasColdWorkers = false;
   };
 
   Pool& PoolOf(const ServiceName& aService);
-  /** Whether the unit may use every worker of its service and has no
+  /** Whether the unit may use every worker of its service alike and has no
    * reservation, so that the shared list of the service applies to it. */
   bool IsUnrestricted(const TrackedJob& aJob,
                       const TaskUnit& aUnit,
-                      const UnitRef& aRef) const;
+                      const UnitRef& aRef);
   bool MayTakeWork(const TrackedWorker& aWorker) const;
   CandidateWorker MakeCandidate(const TrackedWorker& aWorker,
                                 const Resources& aReserved) const;
--- a/zones/preemption_reservations.h
+++ b/zones/preemption_reservations.h
@@ -4,6 +4,8 @@
 #include "machines/resources.h"
 #include "zones/unit_ref.h"
 
+#include <algorithm>
+#include <concepts>
 #include <map>
 #include <vector>
 
@@ -20,6 +22,18 @@
                Instant aUntil);
   void Release(const UnitRef& aUnit) { this->reservations.erase(aUnit); }
   void DropExpired(Instant aNow);
+  /** Drops each reservation with resources on a worker to which aApplies. */
+  template<std::predicate<const WorkerName&> Predicate>
+  void DropOn(Predicate aApplies)
+  {
+    std::erase_if(this->reservations, [&aApplies](const auto& aEntry) {
+      const auto& places = aEntry.second.resources;
+      return std::any_of(
+        places.begin(), places.end(), [&aApplies](const auto& aPlace) {
+          return aApplies(aPlace.first);
+        });
+    });
+  }
   bool HasReservation(const UnitRef& aUnit) const
   {
     return this->reservations.contains(aUnit);
--- a/zones/tracked_worker.cpp
+++ b/zones/tracked_worker.cpp
@@ -46,6 +46,7 @@
   } else if (!this->leavingSince) {
     this->leavingSince = aNow;
   }
+  this->coldUntil = aNow + aListing.ColdLeft();
   this->listing = std::move(aListing);
   this->listed = true;
 }
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -95,6 +95,8 @@
   /** Records that a run of a single task makes progress far too slowly on this
    * worker. */
   void NoteSlow(Instant aNow) { this->slowSeen = aNow; }
+  /** Whether the worker is slow after its start. */
+  bool IsCold(Instant aNow) const { return aNow < this->coldUntil; }
   /** 0 for a healthy worker; workers with a higher penalty are used last. */
   std::int32_t Penalty(Instant aNow) const;
 
@@ -121,6 +123,7 @@
   std::optional<Instant> slowSeen;
   Milliseconds startPause{ 0 };
   Instant nextStart{};
+  Instant coldUntil{};
 };
 
 }
