Place by the measured pace of workers

Cause: workers of a service may differ in speed, and nothing but the progress of their runs says so. Change: WorkerPaces fits the paces of workers and the errors of estimates to the latest runs. Where one worker in ten is too slow for the tightest objectives, units that would miss theirs on a slow worker prefer fast ones and the others slow ones; gangs get workers of like pace. Run times of queues and the check for stalled runs no longer mix size and pace.

--- a/scheduling/decision_events.cpp
+++ b/scheduling/decision_events.cpp
@@ -5,15 +5,33 @@
 #include "core/reason.h"
 #include "scheduling/event_line.h"
 #include "zones/given_up_runs.h"
+#include "zones/pace/pace_change.h"
 #include "zones/placed_unit.h"
 #include "zones/preempted_unit.h"
 #include "zones/start_order.h"
 #include "zones/stop_order.h"
 
+#include <cmath>
+
 namespace sardinecourse {
 
 namespace {
 
+constexpr double kPercent = 100.0;
+
+const char*
+PaceClassName(PaceClass aClass)
+{
+  switch (aClass) {
+    case PaceClass::kSlow:
+      return "slow";
+    case PaceClass::kFast:
+      return "fast";
+    default:
+      return "typical";
+  }
+}
+
 void
 AddTask(EventLine& aLine, const TaskAddress& aTask, std::int64_t aRun)
 {
@@ -78,6 +96,31 @@
     .Emit();
 }
 
+void
+LogPaceChange(const PaceChange& aChange, std::int64_t aTerm)
+{
+  EventLine("worker_pace")
+    .Field("worker", aChange.worker.Text())
+    .Field("from", PaceClassName(aChange.from))
+    .Field("to", PaceClassName(aChange.to))
+    .Field("percent", std::llround(aChange.pace * kPercent))
+    .Field("term", aTerm)
+    .Emit();
+}
+
+void
+LogPaceCounts(const std::map<PaceClass, std::int64_t>& aCounts,
+              std::size_t aChanged,
+              std::int64_t aTerm)
+{
+  EventLine line("paces");
+  line.Field("changed", static_cast<std::int64_t>(aChanged));
+  for (const auto& [paceClass, count] : aCounts) {
+    line.Field(PaceClassName(paceClass), count);
+  }
+  line.Field("term", aTerm).Emit();
+}
+
 void
 LogEnd(const WorkerName& aWorker, const EndedTask& aEnd)
 {
--- a/scheduling/decision_events.h
+++ b/scheduling/decision_events.h
@@ -2,8 +2,11 @@
 
 #include "core/names.h"
 #include "links/worker_orders.h"
+#include "zones/pace/pace_class.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <map>
 
 namespace sardinecourse {
 
@@ -14,6 +17,7 @@
 struct PlacedUnit;
 struct PreemptedUnit;
 struct GivenUpRuns;
+struct PaceChange;
 
 /** Event lines for a holder's decisions on units, for the outcomes of its
  * orders and for ended runs; aTerm is the holder's fencing token. */
@@ -26,6 +30,14 @@
 void
 LogGivenUp(const GivenUpRuns& aGivenUp, std::int64_t aTerm);
 void
+LogPaceChange(const PaceChange& aChange, std::int64_t aTerm);
+/** aCounts has the number of workers of each class; aChanged of them came into
+ * another class. */
+void
+LogPaceCounts(const std::map<PaceClass, std::int64_t>& aCounts,
+              std::size_t aChanged,
+              std::int64_t aTerm);
+void
 LogEnd(const WorkerName& aWorker, const EndedTask& aEnd);
 void
 LogStart(const StartOrder& aStart,
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -84,6 +84,8 @@
   /** Interval of the passes that run without an event, for changes that only
    * depend on time. */
   static constexpr Milliseconds kPassInterval{ 100 };
+  /** Changes of workers' paces of which a pass logs each. */
+  static constexpr std::size_t kMaxLoggedPaces = 4;
 
   boost::asio::awaitable<void> Run()
   {
@@ -110,6 +112,9 @@
     this->Spawn([this] { return this->writer.Run(); });
     this->Spawn([this] { return this->maintenance.PublishPending(); });
     this->Spawn([this] { return this->maintenance.PublishUsage(); });
+    if (this->policy.IsPaceUsed()) {
+      this->Spawn([this] { return this->maintenance.PublishPaces(); });
+    }
     this->Spawn([this] { return this->PassPeriodically(); });
     this->Spawn([this] { return this->archive.ArchiveEndedJobs(); });
     this->Spawn([this] { return this->archive.DeleteOldEntries(); });
@@ -157,6 +162,25 @@
       this->Metrics().RecordGivenUp(givenUp.runs, givenUp.silent);
       LogGivenUp(givenUp, this->Number());
     }
+    this->LogPaceChanges(aDecisions.paceChanges);
+  }
+
+  /** Logs the first few changes of a pass and the number of all, since most
+   * workers change their class at the start of a term. */
+  void LogPaceChanges(const std::vector<PaceChange>& aChanges)
+  {
+    std::size_t logged = 0;
+    for (const PaceChange& change : aChanges) {
+      this->Metrics().Count(DomainMetrics::Event::kPaceChanged);
+      if (logged++ < kMaxLoggedPaces) {
+        LogPaceChange(change, this->Number());
+      }
+    }
+    if (!aChanges.empty()) {
+      LogPaceCounts(this->Domain().Paces()->CountByClass(),
+                    aChanges.size(),
+                    this->Number());
+    }
   }
 
   DomainPolicy policy;
--- a/scheduling/domain_maintenance.h
+++ b/scheduling/domain_maintenance.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "codecs/domain_usage_json.h"
+#include "codecs/pace_records_text.h"
 #include "codecs/pending_json.h"
 #include "contracts/domain_usage.h"
 #include "core/reason.h"
@@ -9,6 +10,7 @@
 #include "scheduling/store_rows.h"
 #include "zones/domain_state.h"
 #include "zones/job_intake.h"
+#include "zones/pace/pace_records.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <optional>
@@ -19,7 +21,8 @@
 namespace sardinecourse {
 
 /** Publishes what callers and hosts need of the domain's state: the number of
- * pending jobs of each queue, and the memory that the accepted jobs take. */
+ * pending jobs of each queue, the memory that the accepted jobs take, and the
+ * measured paces of workers. */
 template<typename Term>
 class DomainMaintenance
 {
@@ -71,8 +74,44 @@
     }
   }
 
+  /** Adopts the paces that an earlier holder stored, then stores the measured
+   * ones while they change. The next holder can also do without them, so a
+   * failed call is logged and not repeated before its time. */
+  boost::asio::awaitable<void> PublishPaces()
+  {
+    const std::optional<PaceRecords> stored = co_await this->ReadPaces();
+    if (stored && this->term->IsActive()) {
+      this->term->Domain().LoadPaces(*stored, Clock::now());
+      this->term->RequestPass();
+    }
+    PaceRecords published = stored.value_or(PaceRecords());
+    while (this->term->IsActive()) {
+      co_await this->term->PauseFor(kPaceInterval);
+      const WorkerPaces* paces = this->term->Domain().Paces();
+      if (paces == nullptr || !this->term->IsActive()) {
+        continue;
+      }
+      PaceRecords records = paces->Records();
+      const std::size_t unlike = records.CountUnlike(published);
+      if (unlike * kMinUnlikeShare < records.Entries().size() || unlike == 0) {
+        continue;
+      }
+      std::string text = EncodePaceRecords(records);
+      const bool isStored = co_await this->Store(kPaceRow, std::move(text));
+      if (isStored) {
+        published = std::move(records);
+      }
+    }
+  }
+
 private:
   static constexpr Milliseconds kPendingInterval{ 500 };
+  /** Within this time a busy worker is measured anew, so older paces are of
+   * little use to the next holder and newer ones save it little. */
+  static constexpr Milliseconds kPaceInterval{ 3000 };
+  /** The paces are stored again when one in so many is unlike the stored one.
+   */
+  static constexpr std::size_t kMinUnlikeShare = 20;
   /** Hosts take jobs by the stored usage, so it is stored soon. */
   static constexpr Milliseconds kUsageInterval{ 100 };
 
@@ -98,6 +137,27 @@
       .value_or(DomainUsage().With(TeamName(), kMaxIntakeBytes));
   }
 
+  boost::asio::awaitable<std::optional<PaceRecords>> ReadPaces()
+  {
+    Reason reason;
+    std::string table = kDomainTable;
+    std::string from = kPaceRow;
+    std::string to = AfterKey(kPaceRow);
+    const auto page = co_await this->term->Rows().Read(
+      std::move(table), std::move(from), std::move(to), reason);
+    std::optional<PaceRecords> records;
+    if (page && page->Rows().empty()) {
+      co_return records;
+    }
+    if (page) {
+      records = DecodePaceRecords(page->Rows().front().Value(), reason);
+    }
+    if (!records) {
+      EventLine("pace_unreadable").Field(reason).Emit();
+    }
+    co_return records;
+  }
+
   /** Stores a value in a row of the domain. */
   boost::asio::awaitable<bool> Store(std::string aRow, std::string aValue)
   {
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -33,7 +33,9 @@
     kRunFailed,
     kRunLost,
     /** A stored job that this version cannot load. */
-    kJobNotLoaded
+    kJobNotLoaded,
+    /** A worker whose pace came into another class. */
+    kPaceChanged
   };
 
   /** Event as which the outcome of a run is counted. */
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -43,6 +43,9 @@
  * first time. Each admission depends on its revision, so it is never deleted: a
  * late admission that requires its absence would take effect after all. */
 inline const std::string kUsageRow = "usage";
+/** Measured paces of workers, for the next holder. It may be absent or old:
+ * paces of other lives of workers match none. */
+inline const std::string kPaceRow = "pace";
 
 /** Key of the row in kJobTable that marks aJob as cancelled. */
 std::string
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -3,11 +3,13 @@
 #include "codecs/domain_host_settings_yaml.h"
 #include "codecs/domain_owner_json.h"
 #include "codecs/job_progress_json.h"
+#include "codecs/pace_records_text.h"
 #include "codecs/pending_json.h"
 #include "contracts/domain_owner_builder.h"
 #include "contracts/job_progress_builder.h"
 #include "core/reason.h"
 #include "tests/scheduling/sample_jobs.h"
+#include "zones/pace/pace_records.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -35,12 +37,47 @@
   CPPUNIT_TEST(ProgressOfEarlierVersionsIsRead);
   CPPUNIT_TEST(DomainOwnerRoundTrips);
   CPPUNIT_TEST(PendingCountRoundTrips);
+  CPPUNIT_TEST(StoredPacesRoundTripWithinAFewKilobytes);
+  CPPUNIT_TEST(InvalidStoredPacesAreRefused);
   CPPUNIT_TEST(Base64RoundTripsAndRefusesInvalidText);
   CPPUNIT_TEST(TextOfAnotherFormIsRefused);
   CPPUNIT_TEST(InvalidHostSettingsAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void StoredPacesRoundTripWithinAFewKilobytes()
+  {
+    constexpr int kWorkers = 970;
+    constexpr std::size_t kMaxBytes = 6000;
+    PaceRecords records;
+    for (int worker = 0; worker < kWorkers; ++worker) {
+      records.Add(
+        WorkerName("w" + std::to_string(worker)), worker, worker % 5 - 2.0);
+    }
+    const std::string text = EncodePaceRecords(records);
+    CPPUNIT_ASSERT(text.size() <= kMaxBytes);
+    Reason reason;
+    const auto read = DecodePaceRecords(text, reason);
+    CPPUNIT_ASSERT_MESSAGE(reason.Message(), read.has_value());
+    CPPUNIT_ASSERT(records == *read);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      -1.0, read->Find(WorkerName("w6"), 6).value(), 0.01);
+    CPPUNIT_ASSERT(!read->Find(WorkerName("w6"), 7));
+  }
+
+  void InvalidStoredPacesAreRefused()
+  {
+    Reason reason;
+    CPPUNIT_ASSERT(DecodePaceRecords("", reason));
+    for (const std::string& text :
+         { std::string("AAAAA"),
+           std::string("AAAAA!"),
+           std::string("{\"a\":1}"),
+           std::string(std::size_t{ 6 } * 100'000, 'A') }) {
+      CPPUNIT_ASSERT(!DecodePaceRecords(text, reason));
+    }
+  }
+
   void AdmittedJobRoundTrips()
   {
     const AdmittedJob job = MakeAdmitted(
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -2,6 +2,7 @@
 
 #include "contracts/progress_limits.h"
 #include "zones/domain_state.h"
+#include "zones/pace/pace_preference_choice.h"
 #include "zones/place_search.h"
 #include "zones/preemption_reservations.h"
 #include "zones/run_monitor.h"
@@ -71,12 +72,19 @@
             aNow,
             aPolicy.MaxPreemptionWaste())
 {
+  if (this->policy.IsPaceUsed()) {
+    aDomain.MeasurePaces();
+  }
 }
 
 PassDecisions
 DomainPass::Run()
 {
   this->reservations->DropExpired(this->now);
+  if (WorkerPaces* paces = this->domain->Paces()) {
+    paces->Fit(this->now);
+    this->decisions.paceChanges = paces->TakeChanges();
+  }
   if (this->domain->IsSweepDue(this->now)) {
     this->decisions.givenUp = RunMonitor(*this->domain, this->now).Run();
   }
@@ -286,13 +294,16 @@
   }
   const std::vector<CandidateWorker>& workers =
     this->view.CandidatesFor(aJob, aFirst, aFirstRef);
+  const PacePreference pace = this->PaceFor(aJob, aFirst);
   std::vector<WorkerName> places =
-    FindSomePlaces(workers, MakePlacementRequest(step, count, true));
+    FindSomePlaces(workers, MakePlacementRequest(step, count, true, pace));
   if (places.empty() && !step.DataRack().Empty() &&
       this->Waited(aJob) >= this->MaxLocalityWait(aJob, step)) {
-    places = FindSomePlaces(workers, MakePlacementRequest(step, count, false));
+    places =
+      FindSomePlaces(workers, MakePlacementRequest(step, count, false, pace));
   } else if (places.empty() && isOverdue) {
-    places = FindSomePlaces(workers, MakePlacementRequest(step, 1, false));
+    places =
+      FindSomePlaces(workers, MakePlacementRequest(step, 1, false, pace));
   }
   for (std::size_t position = 0; position < places.size(); ++position) {
     TaskUnit& unit = aJob.Open(units[position]);
@@ -396,10 +407,11 @@
                       bool aIsOverdue)
 {
   const JobStep& step = aJob.StepOf(aUnit);
+  const PacePreference pace = this->PaceFor(aJob, aUnit);
   const PlacementRequest local =
-    MakePlacementRequest(step, aUnit.Count(), true);
+    MakePlacementRequest(step, aUnit.Count(), true, pace);
   const PlacementRequest anywhere =
-    MakePlacementRequest(step, aUnit.Count(), false);
+    MakePlacementRequest(step, aUnit.Count(), false, pace);
   auto places = this->view.Find(aJob, aUnit, aRef, local);
   if (places || local == anywhere) {
     return places;
@@ -418,6 +430,21 @@
   return std::chrono::duration_cast<Milliseconds>(this->now - aJob.FirstSeen());
 }
 
+PacePreference
+DomainPass::PaceFor(const TrackedJob& aJob, const TaskUnit& aUnit) const
+{
+  const WorkerPaces* paces = this->domain->Paces();
+  if (paces == nullptr || !paces->IsUneven(aJob.Job().Service())) {
+    return PacePreference::kNone;
+  }
+  const JobPlan& plan = aJob.Job().Plan();
+  const Milliseconds waited =
+    plan.IsTimed() ? std::chrono::duration_cast<Milliseconds>(
+                       this->wallTime - plan.DueOf(aUnit.Occurrence()))
+                   : this->Waited(aJob);
+  return ChoosePacePreference(aJob.Job(), aUnit.Step(), waited);
+}
+
 Milliseconds
 DomainPass::MaxLocalityWait(const TrackedJob& aJob, const JobStep& aStep) const
 {
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -4,6 +4,7 @@
 #include "core/instant.h"
 #include "core/wall_time.h"
 #include "zones/domain_reclaim.h"
+#include "zones/pace/pace_preference.h"
 #include "zones/pass_decisions.h"
 #include "zones/placement_view.h"
 #include "zones/waiting_group.h"
@@ -75,6 +76,8 @@
                                                    const UnitRef& aRef,
                                                    bool aIsOverdue);
   Milliseconds Waited(const TrackedJob& aJob) const;
+  /** Which pace the unit's workers should have. */
+  PacePreference PaceFor(const TrackedJob& aJob, const TaskUnit& aUnit) const;
   /** How long a job may wait for the rack that it prefers. */
   Milliseconds MaxLocalityWait(const TrackedJob& aJob,
                                const JobStep& aStep) const;
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -5,10 +5,14 @@
 #include "contracts/worker_report.h"
 #include "core/reason.h"
 #include "zones/job_intake.h"
+#include "zones/pace/measured_run.h"
 #include "zones/start_order_builder.h"
 #include "zones/stop_order_builder.h"
+#include "zones/worker_outlook_builder.h"
 
 #include <algorithm>
+#include <functional>
+#include <limits>
 #include <utility>
 
 namespace sardinecourse {
@@ -28,6 +32,13 @@
 /** Covers workers whose clocks run 2% slow, over the longest lease. */
 constexpr Milliseconds kLeaseMargin{ 500 };
 
+std::uint64_t
+CombineHashes(std::uint64_t aHash, std::uint64_t aValue)
+{
+  constexpr std::uint64_t kGoldenRatio = 0x9e3779b97f4a7c15;
+  return aHash ^ (aValue + kGoldenRatio + (aHash << 6U) + (aHash >> 2U));
+}
+
 }
 
 DomainState::DomainState(DomainTiming aTiming,
@@ -166,9 +177,57 @@
 }
 
 WorkerOutlook
-DomainState::OutlookOf(const TrackedWorker& /*aWorker*/) const
+DomainState::OutlookOf(const TrackedWorker& aWorker) const
+{
+  Reason ignored; // A measured pace is positive.
+  return WorkerOutlookBuilder()
+    .Pace(this->paces ? this->paces->PaceOf(aWorker.Listing().Service(),
+                                            aWorker.Listing().Name())
+                      : 1.0)
+    .Build(ignored)
+    .value_or(WorkerOutlook());
+}
+
+void
+DomainState::MeasurePaces()
+{
+  if (this->paces) {
+    return;
+  }
+  this->paces.emplace();
+  for (const auto& [name, worker] : this->workers) {
+    if (worker.HasAnswered() && !worker.IsReplaced()) {
+      this->paces->BeginLife(worker.Listing().Service(),
+                             name,
+                             worker.Incarnation(),
+                             worker.LastReport());
+    }
+  }
+}
+
+void
+DomainState::LoadPaces(const PaceRecords& aRecords, Instant aNow)
 {
-  return WorkerOutlook();
+  this->MeasurePaces();
+  this->paces->Load(aRecords, aNow);
+}
+
+double
+DomainState::PaceOf(const TaskUnit& aUnit) const
+{
+  if (!this->paces || aUnit.Members().empty()) {
+    return 1.0;
+  }
+  double slowest = std::numeric_limits<double>::max();
+  for (const MemberRun& member : aUnit.Members()) {
+    const auto found = this->workers.find(member.worker);
+    const double pace =
+      found == this->workers.end()
+        ? 1.0
+        : this->paces->PaceOf(found->second.Listing().Service(), member.worker);
+    slowest = std::min(slowest, pace);
+  }
+  return slowest;
 }
 
 bool
@@ -256,6 +315,10 @@
     worker->RecordLease(aReport.ClockMs() +
                         this->timing.GrantedLease().count());
   }
+  if ((isFirst || isRestarted) && this->paces) {
+    this->paces->BeginLife(
+      worker->Listing().Service(), aWorker, aReport.Incarnation(), aReceived);
+  }
   std::vector<EndedTask> newEnds;
   for (const EndedTask& end : aReport.Ended()) {
     if (this->ApplyEnd(*worker, end, aReceived)) {
@@ -315,11 +378,40 @@
   if (aUnit.Done() || aUnit.IsResumed() || !aUnit.AllRunningSince()) {
     return;
   }
-  const double factor = aUnit.IsRemote() ? this->timing.RemoteSlowdown() : 1.0;
   const std::chrono::duration<double, std::milli> ran =
-    (aNow - *aUnit.AllRunningSince()) / factor;
+    aNow - *aUnit.AllRunningSince();
+  // The queue's run time is that of a typical worker near the data.
+  const double factor =
+    (aUnit.IsRemote() ? this->timing.RemoteSlowdown() : 1.0) /
+    this->PaceOf(aUnit);
   this->runTimes.Note(aJob.Job().Queue(),
-                      std::chrono::duration_cast<Milliseconds>(ran));
+                      std::chrono::duration_cast<Milliseconds>(ran / factor));
+  if (this->paces && aUnit.Count() == 1) {
+    const WorkerName& worker = aUnit.Members().front().worker;
+    this->paces->NoteDone(aJob.Job().Service(),
+                          worker,
+                          this->MeasuredRunOf(aJob, aUnit, aUnit.First()),
+                          ran.count(),
+                          aNow);
+  }
+}
+
+MeasuredRun
+DomainState::MeasuredRunOf(const TrackedJob& aJob,
+                           const TaskUnit& aUnit,
+                           std::int32_t aIndex) const
+{
+  const JobStep& step = aJob.StepOf(aUnit);
+  const double factor = aUnit.IsRemote() ? this->timing.RemoteSlowdown() : 1.0;
+  MeasuredRun run;
+  run.step = CombineHashes(std::hash<JobKey>()(aJob.Job().Key()),
+                           static_cast<std::uint64_t>(aUnit.Step()));
+  run.run =
+    CombineHashes(run.step, static_cast<std::uint64_t>(aUnit.Occurrence()));
+  run.run = CombineHashes(run.run, static_cast<std::uint64_t>(aIndex));
+  run.run = CombineHashes(run.run, static_cast<std::uint64_t>(aUnit.Run()));
+  run.estimateMs = static_cast<double>(step.Estimate().count()) * factor;
+  return run;
 }
 
 void
@@ -337,6 +429,15 @@
       unit->MarkRunning(*member, aNow);
     }
     unit->UpdateProgress(*member, aRunning.Percent(), aRunning.Saved(), aNow);
+    if (this->paces && !job->StepOf(*unit).IsEndless()) {
+      this->paces->NoteProgress(
+        job->Job().Service(),
+        aWorker.Listing().Name(),
+        this->MeasuredRunOf(*job, *unit, aRunning.Task().Index()),
+        aRunning.Percent(),
+        aWorker.ClockAt(aNow),
+        aNow);
+    }
     return;
   }
   if (unit != nullptr) {
@@ -424,6 +525,9 @@
 {
   if (TrackedWorker* worker = this->FindWorker(aWorker)) {
     worker->MarkReplaced();
+    if (this->paces) {
+      this->paces->EndLife(worker->Listing().Service(), aWorker);
+    }
   }
 }
 
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -6,6 +6,7 @@
 #include "contracts/task_address.h"
 #include "core/instant.h"
 #include "core/names.h"
+#include "zones/pace/worker_paces.h"
 #include "zones/queue_run_times.h"
 #include "zones/start_order.h"
 #include "zones/stop_order.h"
@@ -24,6 +25,7 @@
 
 class RunningTask;
 class WorkerReport;
+struct MeasuredRun;
 
 /** State of a scheduling domain as its holder tracks it: jobs, workers, and
  * which runs may be on which worker. Events update it, and DomainPass makes
@@ -74,6 +76,18 @@
   }
   /** What placement takes into account of the worker. */
   WorkerOutlook OutlookOf(const TrackedWorker& aWorker) const;
+  /** From now on the paces of workers are measured; before, they count as 1. */
+  void MeasurePaces();
+  /** The measured paces; null while they are not measured. */
+  WorkerPaces* Paces() { return this->paces ? &*this->paces : nullptr; }
+  const WorkerPaces* Paces() const
+  {
+    return this->paces ? &*this->paces : nullptr;
+  }
+  /** Adopts the paces that an earlier holder stored. */
+  void LoadPaces(const PaceRecords& aRecords, Instant aNow);
+  /** Pace of the unit's run: that of its slowest member. */
+  double PaceOf(const TaskUnit& aUnit) const;
   /** Whether a run may still be on the worker, including one that an earlier
    * holder started. */
   bool MayStillRun(const WorkerName& aWorker, Instant aNow) const;
@@ -167,6 +181,9 @@
                          TrackedWorker& aWorker);
   bool ApplyEnd(TrackedWorker& aWorker, const EndedTask& aEnd, Instant aNow);
   void NoteRunTime(const TrackedJob& aJob, const TaskUnit& aUnit, Instant aNow);
+  MeasuredRun MeasuredRunOf(const TrackedJob& aJob,
+                            const TaskUnit& aUnit,
+                            std::int32_t aIndex) const;
   void ApplyRunning(TrackedWorker& aWorker,
                     const RunningTask& aRunning,
                     Instant aNow,
@@ -200,6 +217,7 @@
   std::map<QueueAddress, QueueName> queueNames;
   std::vector<StopOrder> orphans;
   QueueRunTimes runTimes;
+  std::optional<WorkerPaces> paces;
   Instant lastSweep{};
 };
 
--- a/zones/pass_decisions.h
+++ b/zones/pass_decisions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "zones/given_up_runs.h"
+#include "zones/pace/pace_change.h"
 #include "zones/placed_unit.h"
 #include "zones/preempted_unit.h"
 #include "zones/start_order.h"
@@ -19,6 +20,7 @@
   std::vector<PlacedUnit> placed;
   std::vector<PreemptedUnit> preempted;
   std::vector<GivenUpRuns> givenUp;
+  std::vector<PaceChange> paceChanges;
 
   auto operator<=>(const PassDecisions&) const = default;
 };
--- a/zones/place_search.cpp
+++ b/zones/place_search.cpp
@@ -1,10 +1,12 @@
 #include "zones/place_search.h"
 
 #include "zones/candidate_worker.h"
+#include "zones/pace/pace_bands.h"
 #include "zones/placement_request.h"
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <tuple>
 
@@ -39,14 +41,36 @@
          FreeShare(free.Accelerators(), total.Accelerators());
 }
 
+/** Order of the pace classes in which workers are filled; lower is first. */
+std::int32_t
+PaceRank(const CandidateWorker& aWorker, PacePreference aPreference)
+{
+  const auto rank =
+    static_cast<std::int32_t>(PaceClassOf(aWorker.Outlook().Pace()));
+  switch (aPreference) {
+    case PacePreference::kFast:
+      return -rank;
+    case PacePreference::kSlow:
+      return rank;
+    default:
+      return 0;
+  }
+}
+
 std::vector<WorkerName>
-FillSome(const Workers& aWorkers, const PlacementRequest& aRequest)
+FillSome(const Workers& aWorkers,
+         const PlacementRequest& aRequest,
+         PacePreference aPreference)
 {
-  using Rank = std::tuple<std::int32_t, double, const CandidateWorker*>;
+  using Rank =
+    std::tuple<std::int32_t, std::int32_t, double, const CandidateWorker*>;
   std::vector<Rank> ranks;
   ranks.reserve(aWorkers.size());
   for (const CandidateWorker* worker : aWorkers) {
-    ranks.emplace_back(worker->Penalty(), Emptiness(*worker), worker);
+    ranks.emplace_back(worker->Penalty(),
+                       PaceRank(*worker, aPreference),
+                       Emptiness(*worker),
+                       worker);
   }
   // Most requests fit on a few workers, so a heap saves sorting all of them.
   std::make_heap(ranks.begin(), ranks.end(), std::greater<>());
@@ -58,7 +82,7 @@
       break;
     }
     std::pop_heap(ranks.begin(), ranks.end(), std::greater<>());
-    const CandidateWorker* worker = std::get<2>(ranks.back());
+    const CandidateWorker* worker = std::get<3>(ranks.back());
     ranks.pop_back();
     const std::int32_t here =
       std::min(left, TasksThatFit(*worker, aRequest.Need()));
@@ -77,7 +101,12 @@
   if (fittingTasks < aRequest.Count()) {
     return std::nullopt;
   }
-  std::vector<WorkerName> places = FillSome(aWorkers, aRequest);
+  // The slowest member sets the pace of a gang, so the faster workers of its
+  // band are left to others.
+  const PacePreference order = aRequest.Pace() == PacePreference::kNone
+                                 ? PacePreference::kNone
+                                 : PacePreference::kSlow;
+  std::vector<WorkerName> places = FillSome(aWorkers, aRequest, order);
   if (static_cast<std::int32_t>(places.size()) < aRequest.Count()) {
     return std::nullopt;
   }
@@ -128,6 +157,20 @@
   return fitting;
 }
 
+std::int32_t
+HighestPenalty(const Workers& aWorkers, const std::vector<WorkerName>& aPlaces)
+{
+  std::int32_t highest = 0;
+  for (const CandidateWorker* worker : aWorkers) {
+    if (worker->Penalty() > highest &&
+        std::find(aPlaces.begin(), aPlaces.end(), worker->Name()) !=
+          aPlaces.end()) {
+      highest = worker->Penalty();
+    }
+  }
+  return highest;
+}
+
 }
 
 std::optional<std::vector<WorkerName>>
@@ -135,15 +178,40 @@
            const PlacementRequest& aRequest)
 {
   const Workers fitting = FittingWorkers(aWorkers, aRequest);
-  return aRequest.RequiresOneRack() ? FillOneRack(fitting, aRequest)
-                                    : Fill(fitting, aRequest);
+  std::optional<std::vector<WorkerName>> best;
+  std::int32_t bestPenalty = 0;
+  for (const PaceBand& band : PaceBandsFor(aRequest.Pace())) {
+    Workers inBand;
+    std::copy_if(fitting.begin(),
+                 fitting.end(),
+                 std::back_inserter(inBand),
+                 [&band](const CandidateWorker* aWorker) {
+                   return band.Contains(PaceClassOf(aWorker->Outlook().Pace()));
+                 });
+    auto places = aRequest.RequiresOneRack() ? FillOneRack(inBand, aRequest)
+                                             : Fill(inBand, aRequest);
+    if (!places) {
+      continue;
+    }
+    // A worker on which runs fail is worse than a slow one.
+    const std::int32_t penalty = HighestPenalty(inBand, *places);
+    if (!best || penalty < bestPenalty) {
+      best = std::move(places);
+      bestPenalty = penalty;
+    }
+    if (bestPenalty == 0) {
+      break;
+    }
+  }
+  return best;
 }
 
 std::vector<WorkerName>
 FindSomePlaces(const std::vector<CandidateWorker>& aWorkers,
                const PlacementRequest& aRequest)
 {
-  return FillSome(FittingWorkers(aWorkers, aRequest), aRequest);
+  return FillSome(
+    FittingWorkers(aWorkers, aRequest), aRequest, aRequest.Pace());
 }
 
 bool
--- a/zones/place_search.h
+++ b/zones/place_search.h
@@ -13,7 +13,8 @@
 /** A worker for each task of a unit, or nothing when they do not all fit. The
  * fullest workers with enough free resources are filled first, so that empty
  * workers and racks remain for the units that need them; workers with a higher
- * penalty come last. */
+ * penalty come last. With a preference by pace, a gang gets workers of like
+ * pace, and single tasks fill the preferred workers first. */
 std::optional<std::vector<WorkerName>>
 FindPlaces(const std::vector<CandidateWorker>& aWorkers,
            const PlacementRequest& aRequest);
--- a/zones/run_monitor.cpp
+++ b/zones/run_monitor.cpp
@@ -111,7 +111,8 @@
     return;
   }
   const double factor =
-    aUnit.IsRemote() ? this->domain->Timing().RemoteSlowdown() : 1.0;
+    (aUnit.IsRemote() ? this->domain->Timing().RemoteSlowdown() : 1.0) /
+    this->domain->PaceOf(aUnit);
   const double typical = Seconds(aTypical) * factor;
   const double share = std::max(aUnit.Percent(), 1) / kPercent;
   const double expected = ran / share;
--- a/zones/step_placement_request.cpp
+++ b/zones/step_placement_request.cpp
@@ -7,7 +7,10 @@
 namespace sardinecourse {
 
 PlacementRequest
-MakePlacementRequest(const JobStep& aStep, std::int32_t aCount, bool aIsLocal)
+MakePlacementRequest(const JobStep& aStep,
+                     std::int32_t aCount,
+                     bool aIsLocal,
+                     PacePreference aPace)
 {
   Reason ignored; // A unit has at least one task.
   return PlacementRequestBuilder()
@@ -15,6 +18,7 @@
     .Count(aCount)
     .Rack(aIsLocal ? aStep.DataRack() : RackName())
     .RequiresOneRack(aIsLocal && aStep.PrefersOneRack())
+    .Pace(aPace)
     .Build(ignored)
     .value_or(PlacementRequest());
 }
--- a/zones/step_placement_request.h
+++ b/zones/step_placement_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "zones/pace/pace_preference.h"
 #include "zones/placement_request.h"
 
 #include <cstdint>
@@ -12,6 +13,9 @@
  * the rack of the step's data, and to a single rack when the step prefers one.
  */
 PlacementRequest
-MakePlacementRequest(const JobStep& aStep, std::int32_t aCount, bool aIsLocal);
+MakePlacementRequest(const JobStep& aStep,
+                     std::int32_t aCount,
+                     bool aIsLocal,
+                     PacePreference aPace = PacePreference::kNone);
 
 }
