--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -36,7 +36,9 @@
     /** A stored job that this version cannot load. */
     kJobNotLoaded,
     /** A placed start that was not sent because of an evacuation. */
-    kStartWithheld
+    kStartWithheld,
+    /** A worker whose pace came into another class. */
+    kPaceChanged
   };
 
   /** Event as which the outcome of a run is counted. */
