Read limits on what callers can make a host hold

Cause: clients that send more than the protocol allows can make a host hold memory and descriptors without bound. Tests of this need limits that they can lower. Change: the section limits of both kinds of host files is read strictly into CallerLimits, with defaults that follow from the memory and the descriptors of the machine. Nothing reads the limits yet.

--- a/codecs/domain_host_settings_yaml.cpp
+++ b/codecs/domain_host_settings_yaml.cpp
@@ -1,5 +1,6 @@
 #include "codecs/domain_host_settings_yaml.h"
 
+#include "codecs/caller_limits_yaml.h"
 #include "codecs/domain_policy_yaml.h"
 #include "codecs/host_settings_yaml.h"
 #include "codecs/yaml_document.h"
@@ -22,6 +23,9 @@
 constexpr double kMaxCoreShare = 1024.0;
 /** One hour. A longer time is refused as a probable mistake in the unit. */
 constexpr std::int64_t kMaxDurationMs = 3'600'000;
+/** The memory of a small host, and several times the size of the largest job
+ * that the store can hold. */
+constexpr CallerLimitDefaults kLimitDefaults{ 256, 256 };
 constexpr double kMinRestartS = 0.1;
 constexpr double kMaxRestartS = 3600.0;
 
@@ -95,10 +99,12 @@
   reader.Section("policy", [&policy, &aReason](YamlReader& aPolicy) {
     policy = ReadDomainPolicy(aPolicy, aReason);
   });
-  if (!reader.Finish(aReason) || !timing || !policy) {
+  const std::optional<CallerLimits> limits =
+    ReadCallerLimits(reader, kLimitDefaults, aReason);
+  if (!reader.Finish(aReason) || !timing || !policy || !limits) {
     return std::nullopt;
   }
-  return host.Timing(*timing).Policy(*policy).Build(aReason);
+  return host.Timing(*timing).Policy(*policy).Limits(*limits).Build(aReason);
 }
 
 }
--- a/codecs/host_settings_yaml.cpp
+++ b/codecs/host_settings_yaml.cpp
@@ -1,5 +1,6 @@
 #include "codecs/host_settings_yaml.h"
 
+#include "codecs/caller_limits_yaml.h"
 #include "codecs/yaml_document.h"
 #include "codecs/yaml_reader.h"
 #include "contracts/policy_key_traits.h"
@@ -15,6 +16,8 @@
 
 constexpr std::int64_t kMaxThreads = 256;
 constexpr std::int64_t kDefaultThreads = 2;
+/** Requests may be as large as a fleet's settings allow at most. */
+constexpr CallerLimitDefaults kLimitDefaults{ 1040, 65'536 };
 constexpr double kMinGraceS = 1.0;
 constexpr double kMaxGraceS = 3600.0;
 
@@ -94,9 +97,12 @@
   settings.GraceTime(ReadGraceTime(reader, HostSettings().GraceTime()));
   settings.LogLevel(ReadLogLevel(reader));
   settings.LogFile(reader.Text("log_file", ""));
-  if (!reader.Finish(aReason)) {
+  const std::optional<CallerLimits> limits =
+    ReadCallerLimits(reader, kLimitDefaults, aReason);
+  if (!reader.Finish(aReason) || !limits) {
     return std::nullopt;
   }
+  settings.Limits(*limits);
   const std::optional<EntryHost> host = hostBuilder.Build(aReason);
   if (!host) {
     return std::nullopt;
--- a/contracts/domain_host_settings.h
+++ b/contracts/domain_host_settings.h
@@ -5,6 +5,7 @@
 #include "core/endpoint.h"
 #include "core/instant.h"
 #include "core/names.h"
+#include "machines/caller_limits.h"
 
 #include <compare>
 #include <cstdint>
@@ -38,6 +39,8 @@
   const std::string& LogLevel() const { return this->logLevel; }
   const DomainTiming& Timing() const { return this->timing; }
   const DomainPolicy& Policy() const { return this->policy; }
+  /** What callers can make this host hold. */
+  const CallerLimits& Limits() const { return this->limits; }
 
   auto operator<=>(const DomainHostSettings&) const = default;
 
@@ -56,6 +59,7 @@
   std::string logLevel = "INFO";
   DomainTiming timing;
   DomainPolicy policy;
+  CallerLimits limits;
 };
 
 }
--- a/contracts/domain_host_settings_builder.cpp
+++ b/contracts/domain_host_settings_builder.cpp
@@ -83,6 +83,13 @@
   return *this;
 }
 
+DomainHostSettingsBuilder&
+DomainHostSettingsBuilder::Limits(CallerLimits aLimits)
+{
+  this->value.limits = aLimits;
+  return *this;
+}
+
 DomainHostSettingsBuilder&
 DomainHostSettingsBuilder::Timing(DomainTiming aTiming)
 {
--- a/contracts/domain_host_settings_builder.h
+++ b/contracts/domain_host_settings_builder.h
@@ -26,6 +26,7 @@
   DomainHostSettingsBuilder& LogLevel(std::string aLogLevel);
   DomainHostSettingsBuilder& Timing(DomainTiming aTiming);
   DomainHostSettingsBuilder& Policy(DomainPolicy aPolicy);
+  DomainHostSettingsBuilder& Limits(CallerLimits aLimits);
   std::optional<DomainHostSettings> Build(Reason& aReason) const;
 
 private:
--- a/machines/host_settings.h
+++ b/machines/host_settings.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 #include "core/instant.h"
+#include "machines/caller_limits.h"
 #include "machines/entry_host.h"
 
 #include <compare>
@@ -31,6 +32,8 @@
   const std::string& LogLevel() const { return this->logLevel; }
   /** Destination of the log; standard error when empty. */
   const std::string& LogFile() const { return this->logFile; }
+  /** What callers can make this host hold. */
+  const CallerLimits& Limits() const { return this->limits; }
 
   auto operator<=>(const HostSettings&) const = default;
 
@@ -44,6 +47,7 @@
   Milliseconds graceTime{ 30'000 };
   std::string logLevel = "INFO";
   std::string logFile;
+  CallerLimits limits;
 };
 
 }
--- a/machines/host_settings_builder.cpp
+++ b/machines/host_settings_builder.cpp
@@ -55,6 +55,13 @@
   return *this;
 }
 
+HostSettingsBuilder&
+HostSettingsBuilder::Limits(CallerLimits aLimits)
+{
+  this->value.limits = aLimits;
+  return *this;
+}
+
 std::optional<HostSettings>
 HostSettingsBuilder::Build(Reason& aReason) const
 {
--- a/machines/host_settings_builder.h
+++ b/machines/host_settings_builder.h
@@ -20,6 +20,7 @@
   HostSettingsBuilder& GraceTime(Milliseconds aGraceTime);
   HostSettingsBuilder& LogLevel(std::string aLogLevel);
   HostSettingsBuilder& LogFile(std::string aLogFile);
+  HostSettingsBuilder& Limits(CallerLimits aLimits);
   std::optional<HostSettings> Build(Reason& aReason) const;
 
 private:
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -182,7 +182,8 @@
     const auto host = DecodeDomainHostSettings(
       kHost + "core_share: 0.25\ngrace_s: 4.5\n"
               "timing: {worker_lease_ms: 10000, restart_s: 14.5}\n"
-              "policy: {headroom: 0.15, use_pace: true}\n",
+              "policy: {headroom: 0.15, use_pace: true}\n"
+              "limits: {memory_mb: 120, descriptors: 3075, request_s: 20}\n",
       "f",
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
@@ -196,6 +197,11 @@
     CPPUNIT_ASSERT(host->Policy().IsPaceUsed());
     CPPUNIT_ASSERT(!host->Policy().IsRoomShared());
     CPPUNIT_ASSERT(!host->Policy().AreKindsSeparated());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 30 } << 20U,
+                         host->Limits().MemoryBytes());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1437 }, host->Limits().Connections());
+    CPPUNIT_ASSERT(Milliseconds(20'000) == host->Limits().RequestTime());
+    CPPUNIT_ASSERT(CallerLimits().IdleTime() == host->Limits().IdleTime());
     for (const char* invalidLine : { "core_share: no\n",
                                      "core_share: -1\n",
                                      "threads: 0\n",
@@ -204,6 +210,10 @@
                                      "policy: {headroom: 2}\n",
                                      "policy: {most_waste: .nan}\n",
                                      "policy: {share_room: 2}\n",
+                                     "limits: {memory_mb: 1}\n",
+                                     "limits: {connections: 0}\n",
+                                     "limits: {caller_memory_mb: 1}\n",
+                                     "limits: {idle: 3}\n",
                                      "timing: {stop_ms: 0}\n",
                                      "timing: {restart_s: 0}\n" }) {
       CPPUNIT_ASSERT_MESSAGE(
--- a/tests/codecs/host_settings_yaml_test.cpp
+++ b/tests/codecs/host_settings_yaml_test.cpp
@@ -38,6 +38,7 @@
                          host->Host().Callers().Text());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, host->Platform().size());
     CPPUNIT_ASSERT_EQUAL(4, static_cast<int>(host->Threads()));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 64 } << 20U, host->Limits().BodyBytes());
   }
 
   void InvalidSettingsAreRefusedWithFileLineAndKey()
@@ -57,6 +58,10 @@
                        "127.0.0.2:8081",
                        6,
                        "host.peer_seeds must be a sequence of IP:PORT");
+    this->CheckRefused("threads: 4",
+                       "limits: {body_kb: 0}",
+                       7,
+                       "host.limits.body_kb must be from 1 to 65536");
     this->CheckRefused(
       "DEBUG", "LOUD", 8, "host.log_level is not a level of the log");
   }
