Test hosts under callers that send and hold without limit

Cause: clients sent trailers without end behind a chunked body until a process ran out of memory. Everything else that a caller can make a host hold is of the same kind. Each runs alone.

--- a/tests/harness/request_fleet.cpp
+++ b/tests/harness/request_fleet.cpp
@@ -58,7 +58,8 @@
 RequestFleet::RequestFleet(std::size_t aHosts,
                            std::size_t aMinions,
                            int aServiceUs,
-                           Milliseconds aGraceTime)
+                           Milliseconds aGraceTime,
+                           const std::string& aHostSettings)
   : platformAddress(FreeEndpoint())
   , control(FreeEndpoint())
 {
@@ -67,7 +68,7 @@
     std::vector<std::string>{ "--listen", this->platformAddress.Text() },
     this->folder.File("platform"));
   this->StartMinions(aMinions, aServiceUs);
-  this->StartHosts(aHosts, aGraceTime);
+  this->StartHosts(aHosts, aGraceTime, aHostSettings);
 }
 
 const Endpoint&
@@ -105,7 +106,9 @@
 }
 
 void
-RequestFleet::StartHosts(std::size_t aHosts, Milliseconds aGraceTime)
+RequestFleet::StartHosts(std::size_t aHosts,
+                         Milliseconds aGraceTime,
+                         const std::string& aHostSettings)
 {
   Reason reason;
   std::vector<EntryHost> entryHosts;
@@ -127,9 +130,9 @@
     HostSettingsBuilder settings;
     settings.Host(host).Platform({ this->platformAddress });
     settings.GraceTime(aGraceTime);
-    const std::string path =
-      this->folder.Write(host.Name().Text() + ".yaml",
-                         HostSettingsYaml(settings.Build(reason).value()));
+    const std::string path = this->folder.Write(
+      host.Name().Text() + ".yaml",
+      HostSettingsYaml(settings.Build(reason).value()) + aHostSettings);
     this->hosts.push_back({ host.Callers(), path });
     this->daemons.push_back(nullptr);
     this->Restart(this->hosts.size() - 1);
--- a/tests/harness/request_fleet.h
+++ b/tests/harness/request_fleet.h
@@ -19,11 +19,13 @@
 {
 public:
   /** aServiceUs is the time in microseconds that a minion takes per request,
-   * aGraceTime that from SIGTERM until a daemon is killed. */
+   * aGraceTime that from SIGTERM until a daemon is killed. aHostSettings are
+   * further lines of each host's settings. */
   RequestFleet(std::size_t aHosts,
                std::size_t aMinions,
                int aServiceUs,
-               Milliseconds aGraceTime = Milliseconds(30'000));
+               Milliseconds aGraceTime = Milliseconds(30'000),
+               const std::string& aHostSettings = "");
 
   std::size_t Hosts() const { return this->hosts.size(); }
   /** Address of a daemon for callers. */
@@ -55,7 +57,9 @@
   };
 
   void StartMinions(std::size_t aMinions, int aServiceUs);
-  void StartHosts(std::size_t aHosts, Milliseconds aGraceTime);
+  void StartHosts(std::size_t aHosts,
+                  Milliseconds aGraceTime,
+                  const std::string& aHostSettings);
 
   TestFolder folder;
   Endpoint platformAddress;
--- a/tests/harness/site_deployment.cpp
+++ b/tests/harness/site_deployment.cpp
@@ -66,6 +66,7 @@
     const std::string name = "host" + std::to_string(host);
     this->callers.push_back(FreeEndpoint());
     this->readiness.push_back(FreeEndpoint());
+    this->metrics.push_back(FreeEndpoint());
     this->storeLinks.push_back(
       std::make_unique<Relay>(FreeEndpoint(), this->site));
     this->logs.push_back(this->folder.File(name + ".log"));
@@ -74,7 +75,7 @@
       "name: " + name +
         "\ndata_centre: zone\ncallers: " + this->callers.back().Text() +
         "\nreadiness: " + this->readiness.back().Text() +
-        "\nmetrics: " + FreeEndpoint().Text() + "\nstore: " +
+        "\nmetrics: " + this->metrics.back().Text() + "\nstore: " +
         this->storeLinks.back()->Address().Text() + "\n" + aHostSettings));
     this->Start(host);
   }
--- a/tests/harness/site_deployment.h
+++ b/tests/harness/site_deployment.h
@@ -52,6 +52,14 @@
   void Configure(std::int64_t aVersion, int aFurtherQueues) const;
   /** Writes a version in which the queue under "/one/" has another name. */
   void RenameQueue(std::int64_t aVersion, const std::string& aName) const;
+  const Endpoint& Readiness(std::size_t aHost) const
+  {
+    return this->readiness.at(aHost);
+  }
+  const Endpoint& Metrics(std::size_t aHost) const
+  {
+    return this->metrics.at(aHost);
+  }
   /** Endpoint at which the host serves callers. */
   const Endpoint& Callers(std::size_t aHost) const
   {
@@ -94,6 +102,7 @@
   Endpoint site;
   std::vector<Endpoint> callers;
   std::vector<Endpoint> readiness;
+  std::vector<Endpoint> metrics;
   std::vector<std::string> settings;
   std::vector<std::string> logs;
   std::vector<std::unique_ptr<Relay>> storeLinks;
--- a/tests/history/history_test_main.cpp
+++ b/tests/history/history_test_main.cpp
@@ -15,8 +15,9 @@
 
 }
 
+/** Runs all linked tests, or the test named by the first argument. */
 int
-main()
+main(int aCount, char** aArguments)
 {
   using namespace sardinecourse;
   harness::KillProcessesOnSignals(kTestLimit);
@@ -26,7 +27,7 @@
   runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
   runner.setOutputter(
     new CppUnit::CompilerOutputter(&runner.result(), std::cerr));
-  const bool hasPassed = runner.run();
+  const bool hasPassed = runner.run(aCount > 1 ? aArguments[1] : "");
   // Fails if no test ran, which happens when no fixture was linked in.
   return hasPassed && runner.result().runTests() > 0 ? 0 : 1;
 }
