Bound what callers can make a host hold

Cause: a connection's buffer had no limit, and Beast parses trailers and the header of a chunk only as a whole; bodies could take 64 MB each, before the key was checked, and stayed in memory while the call waited for the store; a step of three bytes became 190 in a row; connections had no limit, and accepting failed in a loop once descriptors were used up. Change: requests are read within the limits of the host's file (RequestReceiver); what each connection, request and unread answer takes is charged to one budget of the process (CallerLoad, atomics). Without room the connection goes that has held most for longest without a whole request; without a free connection, those that were never served. Whom to close and what to admit are decisions in zones/callers/. A failed accept pauses. Rows that wait for the store are charged too. Bodies above 16 KB are decoded for valid keys only, and released before the call waits. Refusals are counted in a metric and logged at most once in 10 s. Names of services in requests are at most 128 characters, since the log's buffer keeps thousands.

--- a/codecs/caller_limits_yaml.cpp
+++ b/codecs/caller_limits_yaml.cpp
@@ -20,8 +20,9 @@
 constexpr std::int64_t kMaxDescriptors = 1 << 20;
 /** Descriptors that are kept for files. */
 constexpr std::int64_t kFileDescriptors = 200;
-/** A holder has a connection to each worker, and all of them may need one. */
-constexpr std::int64_t kConnectionShare = 2;
+/** Each call may need a connection to the store or to a minion, and a holder
+ * has one to each worker. */
+constexpr std::int64_t kConnectionShare = 3;
 constexpr std::int64_t kMaxHeaderKb = 1024;
 constexpr std::int64_t kMaxHeaderFields = 10'000;
 constexpr std::int64_t kMaxBodyKb = 65'536;
--- a/contracts/request_builder.cpp
+++ b/contracts/request_builder.cpp
@@ -77,6 +77,12 @@
     aReason = Reason(Step::kDecode, "", "a request needs a service");
     return std::nullopt;
   }
+  // The log's buffer keeps the names of thousands of requests.
+  if (this->value.service.Text().size() > kMaxKeyBytes) {
+    aReason = Reason(
+      Step::kDecode, "", "a service's name is at most 128 characters long");
+    return std::nullopt;
+  }
   const std::string& team = this->value.team.Text();
   if (team.size() > kMaxKeyBytes ||
       !std::all_of(team.begin(), team.end(), IsKeyCharacter)) {
--- a/daemon/caller_thread.cpp
+++ b/daemon/caller_thread.cpp
@@ -6,6 +6,7 @@
 namespace sardinecourse {
 
 CallerThread::CallerThread(const DomainHostSettings& aHost,
+                           CallerLoad& aLoad,
                            const CurrentCatalog& aCurrentCatalog,
                            DomainMetrics& aMetrics,
                            JobApi::CatalogCallback aOnCatalogRow)
@@ -20,8 +21,12 @@
            aHost.Timing().RevokeTime(),
            std::move(aOnCatalogRow))
   , ingress(this->jobApi)
-  , server(this->context, this->ingress)
+  , server(this->context,
+           this->ingress,
+           aLoad,
+           aHost.Limits().ShareOf(aHost.Threads()))
 {
+  this->jobApi.ChargeTo(aLoad);
 }
 
 CallerThread::~CallerThread()
--- a/daemon/caller_thread.h
+++ b/daemon/caller_thread.h
@@ -18,6 +18,7 @@
 
 namespace sardinecourse {
 
+class CallerLoad;
 class CurrentCatalog;
 class DomainHostSettings;
 class DomainMetrics;
@@ -30,6 +31,7 @@
   using JobApi = DomainJobApi<platform::StoreLink, platform::Schema>;
 
   CallerThread(const DomainHostSettings& aHost,
+               CallerLoad& aLoad,
                const CurrentCatalog& aCurrentCatalog,
                DomainMetrics& aMetrics,
                JobApi::CatalogCallback aOnCatalogRow);
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <sstream>
 #include <utility>
 
 namespace sardinecourse {
@@ -25,6 +26,19 @@
  * from its peers. */
 constexpr Milliseconds kPlatformWait{ 2000 };
 
+void
+LogRefusals(const CallerLoadWatch::Counts& aCounts)
+{
+  std::ostringstream line;
+  for (std::size_t cause = 0; cause < kCallerRefusals; ++cause) {
+    if (aCounts.at(cause) > 0) {
+      line << ' ' << kCallerRefusalNames.at(cause) << '=' << aCounts.at(cause);
+    }
+  }
+  LOG4CPLUS_WARN(log4cplus::Logger::getInstance("daemon"),
+                 "callers_refused" << line.str());
+}
+
 void
 RunAt(boost::asio::steady_timer& aTimer,
       Instant aInstant,
@@ -67,9 +81,11 @@
   , minionMonitor(this->control, this->minions, this->platform)
   , requests(this->settings.Host().Name(),
              this->settings.Threads(),
+             this->settings.Limits(),
              this->control,
              this->platform,
              this->operators)
+  , callerLoadWatch(this->control, this->requests.callerLoad, &LogRefusals)
   , jobs(this->control, this->platform, this->peers, this->settings)
 {
   this->requests.jobs = &this->jobs;
@@ -92,6 +108,8 @@
     });
   boost::asio::co_spawn(
     this->control, this->settingsManager.Run(), boost::asio::detached);
+  boost::asio::co_spawn(
+    this->control, this->callerLoadWatch.Run(), boost::asio::detached);
   this->minionMonitor.Start();
   this->control.run();
   for (const std::unique_ptr<ServingThread>& thread : this->servingThreads) {
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/stop_budget.h"
+#include "daemon/caller_load_watch.h"
 #include "daemon/daemon_peers.h"
 #include "daemon/host_settings_manager.h"
 #include "daemon/job_service.h"
@@ -81,6 +82,7 @@
   MinionRegistry minions;
   MinionMonitor minionMonitor;
   RequestContext requests;
+  CallerLoadWatch callerLoadWatch;
   RoutingLog routingLog;
   JobService jobs;
   std::vector<std::unique_ptr<ServingThread>> servingThreads;
--- a/daemon/domain_daemon.cpp
+++ b/daemon/domain_daemon.cpp
@@ -19,6 +19,22 @@
 /** A host whose catalog was last confirmed longer ago cannot reach the store,
  * so the balancer should send callers to other hosts. */
 constexpr Milliseconds kMaxReadyConfirmationAge{ 2400 };
+/** Part of the callers' limits that the readiness and the metrics address have
+ * each, as the inverse. */
+constexpr std::int64_t kProbeShare = 16;
+
+void
+LogRefusals(const CallerLoadWatch::Counts& aCounts)
+{
+  EventLine line("callers_refused");
+  for (std::size_t cause = 0; cause < kCallerRefusals; ++cause) {
+    if (aCounts.at(cause) > 0) {
+      line.Field(kCallerRefusalNames.at(cause),
+                 static_cast<std::int64_t>(aCounts.at(cause)));
+    }
+  }
+  line.Emit();
+}
 
 }
 
@@ -38,10 +54,18 @@
                        this->holder->Adopt(aCatalog);
                      }
                    })
-  , metricsHandler(this->metrics)
-  , metricsServer(this->control, this->metricsHandler)
+  , callerLoad(this->host.Limits())
+  , callerLoadWatch(this->control, this->callerLoad, &LogRefusals)
+  , metricsHandler(this->metrics, this->callerLoad)
+  , metricsServer(this->control,
+                  this->metricsHandler,
+                  this->callerLoad,
+                  this->host.Limits().ShareOf(kProbeShare))
   , readiness([this] { return this->IsReady(); })
-  , readinessServer(this->control, this->readiness)
+  , readinessServer(this->control,
+                    this->readiness,
+                    this->callerLoad,
+                    this->host.Limits().ShareOf(kProbeShare))
   , lease(this->host,
           std::move(aProcess),
           LeaseThread::Loop::Listener{
@@ -75,6 +99,8 @@
   this->AwaitReload();
   boost::asio::co_spawn(
     this->control, this->catalogWatcher.Run(), boost::asio::detached);
+  boost::asio::co_spawn(
+    this->control, this->callerLoadWatch.Run(), boost::asio::detached);
   this->lease.Start();
   this->control.run();
   this->lease.Stop();
@@ -98,7 +124,7 @@
   };
   for (std::int32_t count = 0; count < this->host.Threads(); ++count) {
     auto thread = std::make_unique<CallerThread>(
-      this->host, this->catalog, this->metrics, onCatalogRow);
+      this->host, this->callerLoad, this->catalog, this->metrics, onCatalogRow);
     if (!thread->Start(onEnded, aReason)) {
       return false;
     }
--- a/daemon/domain_daemon.h
+++ b/daemon/domain_daemon.h
@@ -3,9 +3,11 @@
 #include "contracts/domain_gain.h"
 #include "contracts/domain_host_settings.h"
 #include "core/stop_budget.h"
+#include "daemon/caller_load_watch.h"
 #include "daemon/lease_thread.h"
 #include "daemon/metrics_handler.h"
 #include "links/http_server.h"
+#include "machines/caller_load.h"
 #include "platform/readiness_handler.h"
 #include "platform/schema.h"
 #include "platform/store_link.h"
@@ -81,6 +83,8 @@
   CurrentCatalog catalog;
   CatalogWatcher<platform::StoreLink, platform::Schema> catalogWatcher;
   std::shared_ptr<Holder> holder;
+  CallerLoad callerLoad;
+  CallerLoadWatch callerLoadWatch;
   DomainMetrics metrics;
   MetricsHandler metricsHandler;
   HttpServer<MetricsHandler> metricsServer;
--- a/daemon/front_end.cpp
+++ b/daemon/front_end.cpp
@@ -1,11 +1,13 @@
 #include "daemon/front_end.h"
 
+#include "codecs/caller_load_text.h"
 #include "codecs/refusal.h"
 #include "core/reason.h"
 #include "daemon/job_service.h"
 #include "daemon/operator_api.h"
 #include "daemon/request_context.h"
 
+#include <string>
 #include <utility>
 
 namespace sardinecourse {
@@ -14,7 +16,22 @@
 
 constexpr int kServiceUnavailable = 503;
 constexpr int kNotFound = 404;
+constexpr int kContentTooLarge = 413;
 constexpr std::string_view kServicePrefix = "/services/";
+/** Jobs and settings are decoded, which takes many times their size. The
+ * settings of the largest fleet take a fifth of it. */
+constexpr std::size_t kMaxDecodedBytes = 1U << 20U;
+
+HttpAnswer
+Refuse(int aStatus, const Reason& aReason)
+{
+  HttpAnswer answer;
+  answer.status = aStatus;
+  answer.fields.Add("Content-Type", "application/json");
+  answer.fields.Add("Sardinecourse-Outcome", "not-run");
+  answer.body = EncodeRefusal("not-run", aReason);
+  return answer;
+}
 
 }
 
@@ -33,6 +50,13 @@
     HttpAnswer answer = co_await this->services.Handle(std::move(aRequest));
     co_return answer;
   }
+  if (aRequest.body.size() > kMaxDecodedBytes) {
+    const Reason reason(Step::kDecode,
+                        "",
+                        "the body exceeds " + std::to_string(kMaxDecodedBytes) +
+                          " bytes");
+    co_return Refuse(kContentTooLarge, reason);
+  }
   if (JobService::Serves(aRequest.target)) {
     HttpAnswer answer =
       co_await this->shared->jobs->Handle(std::move(aRequest));
@@ -53,12 +77,7 @@
     co_return answer;
   }
   const Reason reason(Step::kDecode, aRequest.target, "no such resource");
-  HttpAnswer answer;
-  answer.status = kNotFound;
-  answer.fields.Add("Content-Type", "application/json");
-  answer.fields.Add("Sardinecourse-Outcome", "not-run");
-  answer.body = EncodeRefusal("not-run", reason);
-  co_return answer;
+  co_return Refuse(kNotFound, reason);
 }
 
 HttpAnswer
@@ -75,7 +94,8 @@
   HttpAnswer answer;
   answer.fields.Add("Content-Type", "text/plain; version=0.0.4");
   const auto table = this->shared->minions.Read();
-  answer.body = this->shared->metrics.Text(*table);
+  answer.body = this->shared->metrics.Text(*table) +
+                CallerLoadText(this->shared->callerLoad);
   return answer;
 }
 
--- a/daemon/metrics_handler.cpp
+++ b/daemon/metrics_handler.cpp
@@ -1,5 +1,6 @@
 #include "daemon/metrics_handler.h"
 
+#include "codecs/caller_load_text.h"
 #include "scheduling/domain_metrics.h"
 
 namespace sardinecourse {
@@ -19,7 +20,7 @@
     co_return answer;
   }
   answer.fields.Add("Content-Type", "text/plain; version=0.0.4");
-  answer.body = this->metrics->Text();
+  answer.body = this->metrics->Text() + CallerLoadText(*this->load);
   co_return answer;
 }
 
--- a/daemon/metrics_handler.h
+++ b/daemon/metrics_handler.h
@@ -7,6 +7,7 @@
 
 namespace sardinecourse {
 
+class CallerLoad;
 class DomainMetrics;
 
 /** Serves the metrics of a scheduling domain's host under "/metrics", in
@@ -14,8 +15,9 @@
 class MetricsHandler
 {
 public:
-  explicit MetricsHandler(const DomainMetrics& aMetrics)
+  MetricsHandler(const DomainMetrics& aMetrics, const CallerLoad& aLoad)
     : metrics(&aMetrics)
+    , load(&aLoad)
   {
   }
 
@@ -23,6 +25,7 @@
 
 private:
   const DomainMetrics* metrics;
+  const CallerLoad* load;
 };
 
 }
--- a/daemon/request_context.h
+++ b/daemon/request_context.h
@@ -5,6 +5,7 @@
 #include "daemon/claim_client.h"
 #include "daemon/readiness.h"
 #include "daemon/request_metrics.h"
+#include "machines/caller_load.h"
 #include "zones/minion_table.h"
 
 namespace sardinecourse {
@@ -17,11 +18,13 @@
 {
   RequestContext(HostName aHost,
                  std::int32_t aThreads,
+                 const CallerLimits& aLimits,
                  boost::asio::io_context& aControl,
                  PlatformLink& aPlatform,
                  OperatorApi& aOperators)
     : host(std::move(aHost))
     , threads(aThreads)
+    , callerLoad(aLimits)
     , minions(std::make_unique<const MinionTable>())
     , claims(aControl, aPlatform)
     , operators(&aOperators)
@@ -30,6 +33,7 @@
 
   HostName host;
   std::int32_t threads;
+  CallerLoad callerLoad;
   Snapshot<MinionTable> minions;
   ClaimClient claims;
   OperatorApi* operators;
--- a/daemon/service_requests.cpp
+++ b/daemon/service_requests.cpp
@@ -159,7 +159,7 @@
     co_return Refuse(kBadRequest, RequestOutcome::kNotRun, reason);
   }
   const std::string callerIdentity(aMessage.fields.Find(kRequestIdentityField));
-  HttpRequest message = ToMinionMessage(aMessage, *request);
+  HttpRequest message = ToMinionMessage(std::move(aMessage), *request);
   ForwardResult result;
   if (request->NeedsClaim()) {
     result = co_await this->HandleKeyed(*request, std::move(message));
--- a/daemon/serving_thread.cpp
+++ b/daemon/serving_thread.cpp
@@ -18,7 +18,10 @@
   : context(1)
   , work(this->context.get_executor())
   , frontEnd(this->context, aShared, aLog)
-  , server(this->context, this->frontEnd)
+  , server(this->context,
+           this->frontEnd,
+           aShared.callerLoad,
+           aShared.callerLoad.Limits().ShareOf(aShared.threads))
   , idleCheckTimer(this->context)
 {
 }
--- a/links/caller_protocol.cpp
+++ b/links/caller_protocol.cpp
@@ -144,7 +144,7 @@
 }
 
 HttpRequest
-ToMinionMessage(const HttpRequest& aMessage, const Request& aRequest)
+ToMinionMessage(HttpRequest&& aMessage, const Request& aRequest)
 {
   HttpRequest message;
   message.method = aMessage.method;
@@ -153,7 +153,7 @@
   if (!message.target.starts_with('/')) {
     message.target.insert(0, "/");
   }
-  message.body = aMessage.body;
+  message.body = std::move(aMessage.body);
   for (const HttpField& field : aMessage.fields) {
     if (!IsStrippedField(field.name)) {
       message.fields.Add(field.name, field.value);
--- a/links/caller_protocol.h
+++ b/links/caller_protocol.h
@@ -28,8 +28,9 @@
 
 /** Builds the message for a minion: the target is the path after
  * "/services/NAME", the request's identity is added, and the fields that
- * concern only the caller and this host are removed. */
+ * concern only the caller and this host are removed. Takes the body out of
+ * aMessage. */
 HttpRequest
-ToMinionMessage(const HttpRequest& aMessage, const Request& aRequest);
+ToMinionMessage(HttpRequest&& aMessage, const Request& aRequest);
 
 }
--- a/links/http_server.h
+++ b/links/http_server.h
@@ -4,10 +4,14 @@
 #include "core/instant.h"
 #include "core/reason.h"
 #include "core/stop_budget.h"
+#include "links/caller_refusal_answer.h"
 #include "links/connection_counts.h"
 #include "links/http_message.h"
+#include "links/http_sessions.h"
+#include "links/request_receiver.h"
+#include "machines/caller_load.h"
+#include "zones/callers/caller_admission.h"
 
-#include <algorithm>
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -18,14 +22,11 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <chrono>
 #include <concepts>
-#include <list>
+#include <memory>
+#include <optional>
 #include <sys/socket.h>
 #include <utility>
 
@@ -43,16 +44,34 @@
 /**
  * Serves HTTP on one endpoint in one thread's io_context. Several servers, each
  * in its own thread, may listen on the same endpoint; the kernel distributes
- * connections among them.
+ * connections among them. What callers hold is bounded by the limits of a load
+ * that is common to the servers of the process, and by this server's share.
  */
 template<HttpHandler Handler>
 class HttpServer
 {
 public:
+  /** For callers that are trusted to keep within the protocol. */
   HttpServer(boost::asio::io_context& aContext, Handler& aHandler)
+    : HttpServer(aContext,
+                 aHandler,
+                 std::make_unique<CallerLoad>(CallerLimits::ForTrusted()))
+  {
+  }
+
+  /** aShare are the connections that this server may have open, and the memory
+   * that it may use whatever the other servers of aLoad use. */
+  HttpServer(boost::asio::io_context& aContext,
+             Handler& aHandler,
+             CallerLoad& aLoad,
+             const CallerLimits& aShare)
     : context(&aContext)
     , handler(&aHandler)
+    , sessions(aLoad, aShare)
+    , receiver(this->sessions)
     , acceptor(aContext)
+    , acceptTimer(aContext)
+    , shareTimer(aContext)
     , drainTimer(aContext)
   {
   }
@@ -131,45 +150,27 @@
   }
 
 private:
-  enum class State : std::uint8_t
+  HttpServer(boost::asio::io_context& aContext,
+             Handler& aHandler,
+             std::unique_ptr<CallerLoad> aLoad)
+    : HttpServer(aContext, aHandler, *aLoad, aLoad->Limits())
   {
-    /** Waits for a request or reads it. */
-    kReading,
-    kHandling,
-    kWriting,
-    /** The last answer is written; reads until the caller closes. */
-    kLingering
-  };
-
-  struct Session
-  {
-    explicit Session(boost::asio::ip::tcp::socket aSocket)
-      : stream(std::move(aSocket))
-    {
-    }
-    boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
-    /** True if any byte of the next request has arrived. */
-    bool HasPartialRequest() const
-    {
-      boost::system::error_code ignored;
-      return this->buffer.size() > 0 ||
-             (this->parser != nullptr && this->parser->got_some()) ||
-             this->stream.socket().available(ignored) > 0;
-    }
-    boost::beast::http::request_parser<boost::beast::http::string_body>*
-      parser = nullptr;
-    State state = State::kReading;
-    Instant openedAt = Clock::now();
-  };
-  using Sessions = std::list<Session>;
+    this->ownLoad = std::move(aLoad);
+  }
+
+  using Session = HttpSession;
+  using State = HttpSession::State;
 
   static constexpr int kBacklog = 4096;
   static constexpr int kGatewayTimeout = 504;
   static constexpr std::size_t kLingerBlockBytes = 4096;
-  static constexpr std::uint64_t kBodyLimitBytes = 64ULL << 20U;
-  static constexpr std::uint32_t kHeaderLimitBytes = 64U << 10U;
-  static constexpr std::chrono::seconds kIdleTimeout{ 75 };
+  static constexpr int kFirstErrorStatus = 300;
+  /** Pause after a failed accept. The cause, such as a lack of descriptors,
+   * lasts; without a pause the loop would spin. */
+  static constexpr Milliseconds kAcceptPause{ 100 };
+  /** Interval of checks whether another server needs the memory that this one
+   * uses beyond its share. */
+  static constexpr Milliseconds kShareInterval{ 200 };
   /** Time in which the first byte of a request must arrive on a connection that
    * is new when the drain starts. */
   static constexpr Milliseconds kFirstByteTime{ 100 };
@@ -184,7 +185,7 @@
   {
     boost::system::error_code error;
     this->acceptor.non_blocking(true, error);
-    while (!error) {
+    while (!error && this->sessions.IsWithinLimit()) {
       boost::asio::ip::tcp::socket socket(*this->context);
       this->acceptor.accept(socket, error);
       if (!error) {
@@ -203,25 +204,47 @@
       if (error == boost::asio::error::operation_aborted) {
         co_return;
       }
-      if (!error) {
-        this->Open(std::move(socket));
+      if (error) {
+        this->sessions.Count(CallerRefusal::kDescriptors);
+        this->sessions.ShedForConnection(this->sessions.Size());
+        co_await this->PauseAccept();
+        continue;
+      }
+      this->Open(std::move(socket));
+      if (!this->sessions.IsWithinLimit()) {
+        // The new connection itself is not closed.
+        this->sessions.ShedForConnection(this->sessions.Size() - 1);
+      }
+      while (!this->draining && !this->sessions.IsWithinLimit()) {
+        // Every connection waits for an answer. New ones wait in the system's
+        // queue meanwhile.
+        co_await this->PauseAccept();
+        this->sessions.ShedForConnection(this->sessions.Size());
       }
     }
   }
 
+  /** Waits for kAcceptPause, or until a connection has been closed. */
+  boost::asio::awaitable<void> PauseAccept()
+  {
+    boost::system::error_code ignored;
+    this->acceptTimer.expires_after(kAcceptPause);
+    co_await this->acceptTimer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  }
+
   /** The session is known from now on, before its coroutine first runs, so that
    * a drain applies to it. */
   void Open(boost::asio::ip::tcp::socket aSocket)
   {
     boost::system::error_code ignored;
     aSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    const auto position =
-      this->sessions.emplace(this->sessions.end(), std::move(aSocket));
+    const auto position = this->sessions.Open(std::move(aSocket));
     boost::asio::co_spawn(
       *this->context, this->Serve(position), boost::asio::detached);
   }
 
-  boost::asio::awaitable<void> Serve(typename Sessions::iterator aPosition)
+  boost::asio::awaitable<void> Serve(HttpSessions::Iterator aPosition)
   {
     Session& session = *aPosition;
     while (co_await this->ServeRequest(session)) {
@@ -229,17 +252,41 @@
     if (session.state == State::kLingering) {
       co_await this->Linger(session);
     }
-    this->sessions.erase(aPosition);
-    if (this->draining && this->sessions.empty()) {
+    this->sessions.Close(aPosition);
+    this->acceptTimer.cancel();
+    if (this->draining && this->sessions.Empty()) {
       this->drainTimer.cancel();
     }
   }
 
+  /** While this server's connections use more than their share, returns it
+   * when other servers of the process need it. */
+  boost::asio::awaitable<void> WatchShare()
+  {
+    boost::system::error_code ignored;
+    while (this->sessions.IsAboveShare()) {
+      this->sessions.ReturnShare();
+      this->shareTimer.expires_after(kShareInterval);
+      co_await this->shareTimer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+    this->isWatching = false;
+  }
+
+  void StartWatch()
+  {
+    if (this->sessions.IsAboveShare() && !this->isWatching) {
+      this->isWatching = true;
+      boost::asio::co_spawn(
+        *this->context, this->WatchShare(), boost::asio::detached);
+    }
+  }
+
   /** Returns early once no connection is open. */
   boost::asio::awaitable<void> SleepUntil(Instant aInstant)
   {
     boost::system::error_code ignored;
-    while (!this->sessions.empty() && Clock::now() < aInstant) {
+    while (!this->sessions.Empty() && Clock::now() < aInstant) {
       this->drainTimer.expires_after(aInstant - Clock::now());
       co_await this->drainTimer.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
@@ -316,45 +363,72 @@
   /** Serves one request; false if the connection must then be closed. */
   boost::asio::awaitable<bool> ServeRequest(Session& aSession)
   {
-    namespace http = boost::beast::http;
     if (this->isReadOver) {
       // The step of the drain has come while the last answer was written.
       aSession.state = State::kLingering;
       co_return false;
     }
-    boost::system::error_code error;
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(kBodyLimitBytes);
-    parser.header_limit(kHeaderLimitBytes);
-    aSession.state = State::kReading;
-    aSession.parser = &parser;
-    aSession.stream.expires_after(kIdleTimeout);
-    co_await http::async_read(
-      aSession.stream,
-      aSession.buffer,
-      parser,
-      boost::asio::redirect_error(boost::asio::use_awaitable, error));
-    aSession.parser = nullptr;
-    if (error) {
+    RequestReceiver::Result received =
+      co_await this->receiver.Receive(aSession);
+    this->StartWatch();
+    if (!received.request) {
+      co_await this->Refuse(aSession, received.refusal);
       co_return false;
     }
-    aSession.state = State::kHandling;
+    aSession.Enter(State::kHandling);
     aSession.stream.expires_never();
-    const bool keepAlive = parser.get().keep_alive();
-    HttpRequest request = FromMessage(parser.release());
-    HttpAnswer answer = co_await this->handler->Handle(std::move(request));
+    HttpAnswer answer =
+      co_await this->handler->Handle(std::move(*received.request));
     if (this->isWriteOver) {
       co_return false;
     }
-    auto message = ToMessage(std::move(answer));
-    const bool isKeptOpen = keepAlive && this->IsNextServed(aSession);
+    aSession.isServed = aSession.isServed || answer.status < kFirstErrorStatus;
+    const bool isNextServed =
+      co_await this->Answer(aSession, std::move(answer), received.isKeptOpen);
+    co_return isNextServed;
+  }
+
+  /** Answers a request that was not read, or not wholly, if its cause has an
+   * answer. */
+  boost::asio::awaitable<void> Refuse(Session& aSession,
+                                      std::optional<CallerRefusal> aCause)
+  {
+    std::optional<HttpAnswer> answer =
+      aCause ? RefusalAnswer(*aCause) : std::nullopt;
+    if (answer) {
+      aSession.buffer = boost::beast::flat_buffer(aSession.buffer.max_size());
+      co_await this->Answer(aSession, std::move(*answer), false);
+    }
+  }
+
+  /** Writes an answer; true if another request may follow. */
+  boost::asio::awaitable<bool> Answer(Session& aSession,
+                                      HttpAnswer aAnswer,
+                                      bool aIsKeptOpen)
+  {
+    boost::system::error_code error;
+    auto message = ToMessage(std::move(aAnswer));
+    const bool isKeptOpen = aIsKeptOpen && this->IsNextServed(aSession);
     message.keep_alive(isKeptOpen);
-    aSession.state = State::kWriting;
-    aSession.stream.expires_after(kIdleTimeout);
-    co_await http::async_write(
+    aSession.Enter(State::kWriting);
+    // An answer is delivered even if there is no room for it.
+    const std::int64_t unused =
+      HttpSessions::kConnectionBytes + aSession.BufferBytes();
+    const std::int64_t bytes =
+      unused + static_cast<std::int64_t>(message.body().capacity());
+    this->sessions.Charge(aSession, unused);
+    if (!this->sessions.TryCharge(aSession, bytes, HasRoomFor)) {
+      this->sessions.Charge(aSession, bytes);
+    }
+    aSession.stream.expires_after(this->sessions.Limits().AnswerTime());
+    co_await boost::beast::http::async_write(
       aSession.stream,
       message,
       boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    this->sessions.Charge(aSession, unused);
+    if (error == boost::beast::error::timeout) {
+      this->sessions.Count(CallerRefusal::kAnswerTooSlow);
+    }
     if (error || isKeptOpen) {
       co_return !error;
     }
@@ -372,9 +446,16 @@
 
   boost::asio::io_context* context;
   Handler* handler;
+  std::unique_ptr<CallerLoad> ownLoad;
+  HttpSessions sessions;
+  RequestReceiver receiver;
   boost::asio::ip::tcp::acceptor acceptor;
+  /** Ends a pause of the accept loop. */
+  boost::asio::steady_timer acceptTimer;
+  boost::asio::steady_timer shareTimer;
   boost::asio::steady_timer drainTimer;
-  Sessions sessions;
+  /** WatchShare() runs. */
+  bool isWatching = false;
   bool closing = false;
   bool draining = false;
   /** The drain has come to StopBudget::ReadEnd(). */
--- a/machines/caller_limits.h
+++ b/machines/caller_limits.h
@@ -2,6 +2,7 @@
 
 #include "core/instant.h"
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -31,13 +32,40 @@
   /** Time in which the caller must read an answer. */
   Milliseconds AnswerTime() const { return this->answerTime; }
 
+  /** The part of one of aServers: connections and memory are divided, but for
+   * a few connections that each has, and the other limits are the same. */
+  CallerLimits ShareOf(std::int64_t aServers) const
+  {
+    CallerLimits share = *this;
+    share.memoryBytes /= aServers;
+    share.connections = std::max(share.connections / aServers,
+                                 std::min(share.connections, kMinConnections));
+    return share;
+  }
+
+  /** Limits that no caller meets, for servers whose callers are trusted. */
+  static CallerLimits ForTrusted()
+  {
+    constexpr unsigned kShift = 40;
+    CallerLimits limits;
+    limits.memoryBytes = std::int64_t{ 1 } << kShift;
+    limits.connections = limits.memoryBytes;
+    limits.headerBytes = std::int64_t{ 1 } << 20U;
+    limits.headerFields = limits.headerBytes;
+    limits.bodyBytes = limits.memoryBytes;
+    return limits;
+  }
+
   auto operator<=>(const CallerLimits&) const = default;
 
 private:
   friend class CallerLimitsBuilder;
 
+  /** A balancer and the operators' tools need that many. */
+  static constexpr std::int64_t kMinConnections = 4;
+
   std::int64_t memoryBytes = std::int64_t{ 64 } << 20U;
-  std::int64_t connections = 1948;
+  std::int64_t connections = 1298;
   std::int64_t headerBytes = std::int64_t{ 64 } << 10U;
   std::int64_t headerFields = 100;
   std::int64_t bodyBytes = std::int64_t{ 256 } << 10U;
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -12,6 +12,7 @@
 #include "core/reason.h"
 #include "core/wall_time.h"
 #include "links/row_store.h"
+#include "machines/caller_charge.h"
 #include "scheduling/call_context.h"
 #include "scheduling/current_catalog.h"
 #include "scheduling/domain_metrics.h"
@@ -28,6 +29,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -63,9 +65,26 @@
   {
   }
 
+  /** Charges aLoad with what waits for the store, and refuses jobs that have no
+   * room there. */
+  void ChargeTo(CallerLoad& aLoad) { this->load = &aLoad; }
+
   /** Retries of calls end by aTime, whatever the calls' deadlines. */
   void AnswerBy(Instant aTime) { this->answerBy = aTime; }
 
+  /** The reply to a call that is refused for its queue or key, whatever its
+   * body; logs and counts it. Empty if the call is to be served. */
+  std::optional<JobReply> Reject(const JobCall& aCall) const
+  {
+    JobReply reply;
+    const Instant receivedAt = Clock::now();
+    if (this->ResolveCall(aCall, reply)) {
+      return std::nullopt;
+    }
+    this->Log(aCall, nullptr, reply, receivedAt);
+    return reply;
+  }
+
   /** Serves one call, logs it and counts it. Retries of a submit or a
    * cancellation stop shortly before the call's deadline. */
   boost::asio::awaitable<JobReply> Answer(JobCall aCall)
@@ -120,6 +139,11 @@
    * no other host has room either. */
   static constexpr Milliseconds kRetryAfterForRoom{ 5000 };
 
+  /** As rows, encoded for the store, in its message, and as sent. */
+  static constexpr std::int64_t kFormsOfTransaction = 4;
+  /** Characters of a call's path that are logged. */
+  static constexpr std::size_t kMaxLoggedPath = 256;
+
   static JobReply Refuse(JobReply::Kind aKind, std::string aCause)
   {
     JobReply reply;
@@ -255,6 +279,12 @@
       }
       const TableTransaction transaction =
         this->MakeAdmission(*aCall.plan, aCallContext);
+      const std::int64_t held = kFormsOfTransaction * BytesOf(transaction);
+      if (!mayBeWritten && !this->HasRoomToWait(held)) {
+        co_return Refuse(JobReply::Kind::kNotRun,
+                         "too many calls wait for the store");
+      }
+      const CallerCharge charge(this->load, held);
       const CommitAnswer answer = co_await this->Commit(transaction, reason);
       if (answer.Outcome() == WriteOutcome::kCommitted) {
         this->usage.Add(aCallContext, bytes);
@@ -342,6 +372,21 @@
     co_return refusal;
   }
 
+  bool HasRoomToWait(std::int64_t aBytes) const
+  {
+    return this->load == nullptr || this->load->HeldBytes() + aBytes <=
+                                      this->load->Limits().MemoryBytes();
+  }
+
+  static std::int64_t BytesOf(const TableTransaction& aTransaction)
+  {
+    std::size_t bytes = 0;
+    for (const TableWrite& write : aTransaction.Writes()) {
+      bytes += write.NewValue() ? write.NewValue()->size() : 0;
+    }
+    return static_cast<std::int64_t>(bytes);
+  }
+
   static JobReply MakeReply(JobReply::Kind aKind)
   {
     JobReply reply;
@@ -621,7 +666,7 @@
     this->metrics->CountCall(aCall.kind, aReply.kind, now - aReceivedAt);
     EventLine line("call");
     line.Field("kind", JobCallName(aCall.kind))
-      .Field("path", aCall.path)
+      .Field("path", std::string_view(aCall.path).substr(0, kMaxLoggedPath))
       .Field("outcome", JobReplyName(aReply.kind))
       .Field(
         "took_ms",
@@ -646,6 +691,7 @@
   KnownUsage usage;
   Milliseconds maxConfirmationAge;
   Instant answerBy = Instant::max();
+  CallerLoad* load = nullptr;
   CatalogCallback onCatalogRow;
 };
 
