Keep paces over a takeover and doubt workers that weren't measured

A worker's entry was dropped between its first answer and its first run, as if it were too old, so its pace was stored without its life and matched none later; and stored paces didn't count for workers that already ran something. The service counted as even again while the first workers answered. Change: entries count from the start of the life; stored paces are added to what runs; an earlier holder's finding holds until enough is measured. Unmeasured workers of an uneven service are a class of their own, which tight units avoid and slack work measures. Rates begin at the start of a run, and members of a gang, whose work is alike, count more than single tasks. Loads and stores of paces are logged.

--- a/scheduling/decision_events.cpp
+++ b/scheduling/decision_events.cpp
@@ -25,6 +25,8 @@
   switch (aClass) {
     case PaceClass::kSlow:
       return "slow";
+    case PaceClass::kDoubtful:
+      return "doubtful";
     case PaceClass::kFast:
       return "fast";
     default:
--- a/scheduling/domain_maintenance.h
+++ b/scheduling/domain_maintenance.h
@@ -81,6 +81,9 @@
   {
     const std::optional<PaceRecords> stored = co_await this->ReadPaces();
     if (stored && this->term->IsActive()) {
+      EventLine("paces_loaded")
+        .Field("workers", static_cast<std::int64_t>(stored->Entries().size()))
+        .Emit();
       this->term->Domain().LoadPaces(*stored, Clock::now());
       this->term->RequestPass();
     }
@@ -99,6 +102,9 @@
       std::string text = EncodePaceRecords(records);
       const bool isStored = co_await this->Store(kPaceRow, std::move(text));
       if (isStored) {
+        EventLine("paces_stored")
+          .Field("workers", static_cast<std::int64_t>(records.Entries().size()))
+          .Emit();
         published = std::move(records);
       }
     }
--- a/tests/zones/pace/paced_place_search_test.cpp
+++ b/tests/zones/pace/paced_place_search_test.cpp
@@ -1,6 +1,7 @@
 #include "machines/resources_builder.h"
 #include "tests/zones/sample_values.h"
 #include "zones/candidate_worker_builder.h"
+#include "zones/pace/pace_class.h"
 #include "zones/place_search.h"
 #include "zones/placement_request_builder.h"
 #include "zones/worker_outlook_builder.h"
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr double kSlow = 0.6;
+constexpr double kUnmeasured = kDoubtfulPace;
 constexpr double kTypical = 1.0;
 constexpr double kFast = 1.6;
 
@@ -70,6 +72,8 @@
 {
   CPPUNIT_TEST_SUITE(PacedPlaceSearchTest);
   CPPUNIT_TEST(TightGangAvoidsRackWithSlowMember);
+  CPPUNIT_TEST(TightGangTakesUnmeasuredWorkersBeforeSlowOnes);
+  CPPUNIT_TEST(TightGangTakesRackWithFewestUnmeasuredMembers);
   CPPUNIT_TEST(TightGangLeavesFastWorkersThatItCannotUse);
   CPPUNIT_TEST(TightGangStartsOnSlowWorkersWhenNoOthersAreFree);
   CPPUNIT_TEST(GangWithSlackTakesWorkersOfLikePace);
@@ -93,6 +97,34 @@
     CPPUNIT_ASSERT(NamesOf(places.value()) == (Names{ "b1", "b2" }));
   }
 
+  void TightGangTakesUnmeasuredWorkersBeforeSlowOnes()
+  {
+    const std::vector<CandidateWorker> workers{
+      MakeCandidate("a1", "a", kSlow),
+      MakeCandidate("a2", "a", kUnmeasured),
+      MakeCandidate("a3", "a", kUnmeasured),
+      MakeCandidate("a4", "a", kFast),
+    };
+    const auto places =
+      FindPlaces(workers, BuildValid(Request(2, PacePreference::kFast)));
+    CPPUNIT_ASSERT(NamesOf(places.value()) == (Names{ "a2", "a4" }));
+  }
+
+  void TightGangTakesRackWithFewestUnmeasuredMembers()
+  {
+    const std::vector<CandidateWorker> workers{
+      MakeCandidate("a1", "a", kUnmeasured),
+      MakeCandidate("a2", "a", kUnmeasured),
+      MakeCandidate("b1", "b", kUnmeasured),
+      MakeCandidate("b2", "b", kTypical),
+      MakeCandidate("b3", "b", kSlow),
+    };
+    const auto places = FindPlaces(
+      workers,
+      BuildValid(Request(2, PacePreference::kFast).RequiresOneRack(true)));
+    CPPUNIT_ASSERT(NamesOf(places.value()) == (Names{ "b1", "b2" }));
+  }
+
   void TightGangLeavesFastWorkersThatItCannotUse()
   {
     const std::vector<CandidateWorker> workers{
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -411,6 +411,13 @@
   run.run = CombineHashes(run.run, static_cast<std::uint64_t>(aIndex));
   run.run = CombineHashes(run.run, static_cast<std::uint64_t>(aUnit.Run()));
   run.estimateMs = static_cast<double>(step.Estimate().count()) * factor;
+  run.isGangMember = aUnit.Count() > 1;
+  const auto worker = this->workers.find(
+    aUnit.Members()[static_cast<std::size_t>(aIndex - aUnit.First())].worker);
+  if (aUnit.AllRunningSince() && !aUnit.IsResumed() &&
+      worker != this->workers.end()) {
+    run.beganMs = worker->second.ClockAt(*aUnit.AllRunningSince());
+  }
   return run;
 }
 
--- a/zones/pace/measured_run.h
+++ b/zones/pace/measured_run.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 namespace sardinecourse {
 
@@ -14,6 +15,11 @@
   /** Estimate of its run time on a typical worker in the place where it runs.
    */
   double estimateMs = 0.0;
+  /** Whether it is a member of a gang, whose members have like work. */
+  bool isGangMember = false;
+  /** When it began, on the worker's clock; empty for a run that resumed from a
+   * checkpoint or that an earlier holder started. */
+  std::optional<std::int64_t> beganMs;
 
   auto operator<=>(const MeasuredRun&) const = default;
 };
--- a/zones/pace/pace_bands.cpp
+++ b/zones/pace/pace_bands.cpp
@@ -6,17 +6,19 @@
 PaceBandsFor(PacePreference aPreference)
 {
   constexpr PaceBand kSlowOnly{ PaceClass::kSlow, PaceClass::kSlow };
+  constexpr PaceBand kPerhapsSlow{ PaceClass::kSlow, PaceClass::kDoubtful };
   constexpr PaceBand kTypicalOnly{ PaceClass::kTypical, PaceClass::kTypical };
   constexpr PaceBand kFastOnly{ PaceClass::kFast, PaceClass::kFast };
   constexpr PaceBand kNotSlow{ PaceClass::kTypical, PaceClass::kFast };
+  constexpr PaceBand kNotKnownSlow{ PaceClass::kDoubtful, PaceClass::kFast };
   constexpr PaceBand kAll{ PaceClass::kSlow, PaceClass::kFast };
   switch (aPreference) {
     case PacePreference::kFast:
-      return { kFastOnly, kNotSlow, kAll };
+      return { kFastOnly, kNotSlow, kNotKnownSlow, kAll };
     case PacePreference::kSlow:
       // A gang works at the pace of its slowest member, so a mixed one wastes
-      // its fast workers.
-      return { kSlowOnly, kTypicalOnly, kNotSlow, kAll };
+      // its fast workers. Doubtful workers come early, which measures them.
+      return { kSlowOnly, kPerhapsSlow, kTypicalOnly, kNotSlow, kAll };
     default:
       return { kAll };
   }
--- a/zones/pace/pace_fit.cpp
+++ b/zones/pace/pace_fit.cpp
@@ -89,7 +89,7 @@
 
 }
 
-std::vector<double>
+PaceFitResult
 FitPaces(const std::vector<PaceSample>& aSamples,
          std::size_t aSteps,
          std::vector<double> aStart)
@@ -126,7 +126,7 @@
       first = end;
     }
   }
-  return paces;
+  return PaceFitResult{ std::move(paces), std::move(errors) };
 }
 
 }
--- a/zones/pace/pace_history.h
+++ b/zones/pace/pace_history.h
@@ -28,6 +28,7 @@
     RunProgress progress;
     Instant updated{};
     bool hasEnded = false;
+    bool isGangMember = false;
   };
 
   /** Records that the worker reported the run's progress; aClockMs is on the
@@ -44,7 +45,10 @@
   void NoteStored(double aLogPace, Instant aNow);
 
   const std::vector<Run>& Runs() const { return this->runs; }
-  /** Weight of a run's rate: less the older it is than the latest one. */
+  /** Null when the run is not among the latest ones. */
+  const Run* Find(std::uint64_t aRun) const;
+  /** Weight of a run's rate: more for a member of a gang, and less the older it
+   * is than the latest one. */
   double WeightOf(const Run& aRun) const;
   Instant Updated() const { return this->updated; }
 
--- a/zones/pace/pace_sample.h
+++ b/zones/pace/pace_sample.h
@@ -13,7 +13,7 @@
   std::uint32_t worker = 0;
   std::uint32_t step = 0;
   double logRate = 0.0;
-  /** Between 0 and 1; less for older runs. */
+  /** In single tasks that have just run. */
   double weight = 1.0;
 
   auto operator<=>(const PaceSample&) const = default;
--- a/zones/pace/run_progress.cpp
+++ b/zones/pace/run_progress.cpp
@@ -19,10 +19,11 @@
 }
 
 RunProgress::RunProgress(std::int32_t aPercent, std::int64_t aClockMs)
-  : anchor{ std::clamp(aPercent, 0, kFullPercent),
-            static_cast<std::uint32_t>(aClockMs) }
-  , nextAnchor(this->anchor)
-  , latest(this->anchor)
+  : first{ std::clamp(aPercent, 0, kFullPercent),
+           static_cast<std::uint32_t>(aClockMs) }
+  , anchor(this->first)
+  , nextAnchor(this->first)
+  , latest(this->first)
 {
 }
 
@@ -55,10 +56,10 @@
 }
 
 std::optional<double>
-RunProgress::Rate() const
+RunProgress::RateBetween(const Report& aFirst, const Report& aLast)
 {
-  const std::int32_t percent = this->latest.percent - this->anchor.percent;
-  const std::int32_t time = MillisecondsBetween(this->anchor, this->latest);
+  const std::int32_t percent = aLast.percent - aFirst.percent;
+  const std::int32_t time = MillisecondsBetween(aFirst, aLast);
   if (percent < kMinWindowPercent || time < kMinWindowMs) {
     return std::nullopt;
   }
@@ -66,4 +67,16 @@
          static_cast<double>(time);
 }
 
+std::optional<double>
+RunProgress::Rate() const
+{
+  return RateBetween(this->anchor, this->latest);
+}
+
+std::optional<double>
+RunProgress::MeanRate() const
+{
+  return RateBetween(this->first, this->latest);
+}
+
 }
--- a/zones/pace/run_progress.h
+++ b/zones/pace/run_progress.h
@@ -22,6 +22,8 @@
   /** Share of the run's work that is done in a millisecond; empty while the
    * window is too short for the resolution of the reports. */
   std::optional<double> Rate() const;
+  /** The same since the first report. */
+  std::optional<double> MeanRate() const;
   auto operator<=>(const RunProgress&) const = default;
 
 private:
@@ -37,6 +39,10 @@
   static std::int32_t MillisecondsBetween(const Report& aFirst,
                                           const Report& aLast);
 
+  static std::optional<double> RateBetween(const Report& aFirst,
+                                           const Report& aLast);
+
+  Report first;
   /** Start of the window. */
   Report anchor;
   /** The window starts here once the run has moved on far enough from it. */
--- a/zones/pace/worker_paces.cpp
+++ b/zones/pace/worker_paces.cpp
@@ -46,10 +46,12 @@
   switch (aClass) {
     case PaceClass::kSlow:
       return std::min(aPace, kSlowPace * (1.0 - kInsideClass));
+    case PaceClass::kDoubtful:
+      return std::clamp(aPace, kSlowPace, kTypicalPace * (1.0 - kInsideClass));
     case PaceClass::kFast:
       return std::max(aPace, kFastPace * (1.0 + kInsideClass));
     default:
-      return std::clamp(aPace, kSlowPace, kFastPace);
+      return std::clamp(aPace, kTypicalPace, kFastPace);
   }
 }
 
@@ -65,7 +67,8 @@
   Entry& entry = service.workers[aWorker];
   entry = Entry();
   entry.incarnation = aIncarnation;
-  this->AdoptRecord(aWorker, entry, aNow);
+  entry.begun = aNow;
+  this->AdoptRecord(aWorker, service, aNow);
   service.isChanged = true;
 }
 
@@ -78,14 +81,17 @@
   }
 }
 
+/** Only paces of uneven services are stored, so the service is uneven. */
 void
 WorkerPaces::AdoptRecord(const WorkerName& aWorker,
-                         Entry& aEntry,
+                         Service& aService,
                          Instant aNow) const
 {
-  const auto logPace = this->stored.Find(aWorker, aEntry.incarnation);
+  Entry& entry = aService.workers[aWorker];
+  const auto logPace = this->stored.Find(aWorker, entry.incarnation);
   if (logPace) {
-    aEntry.history.NoteStored(*logPace, aNow);
+    entry.history.NoteStored(*logPace, aNow);
+    aService.isUneven = true;
   }
 }
 
@@ -95,9 +101,7 @@
   this->stored = std::move(aRecords);
   for (auto& [name, service] : this->services) {
     for (auto& [worker, entry] : service.workers) {
-      if (entry.history.Runs().empty()) {
-        this->AdoptRecord(worker, entry, aNow);
-      }
+      this->AdoptRecord(worker, service, aNow);
     }
     service.isChanged = true;
   }
@@ -107,6 +111,7 @@
 WorkerPaces::CountByClass() const
 {
   std::map<PaceClass, std::int64_t> counts{ { PaceClass::kSlow, 0 },
+                                            { PaceClass::kDoubtful, 0 },
                                             { PaceClass::kTypical, 0 },
                                             { PaceClass::kFast, 0 } };
   for (const auto& [name, service] : this->services) {
@@ -171,7 +176,9 @@
       continue;
     }
     std::erase_if(service.workers, [aNow](const auto& aEntry) {
-      return aEntry.second.history.Updated() + kMaxHistoryAge < aNow;
+      const Entry& entry = aEntry.second;
+      return std::max(entry.begun, entry.history.Updated()) + kMaxHistoryAge <
+             aNow;
     });
     FitService(service);
     UpdateUnevenness(service);
@@ -201,11 +208,15 @@
       }
     }
   }
-  paces = FitPaces(samples, steps.size(), std::move(paces));
+  const PaceFitResult fit = FitPaces(samples, steps.size(), std::move(paces));
+  aService.stepErrors.clear();
+  for (const auto& [step, index] : steps) {
+    aService.stepErrors.emplace(step, fit.errors[index]);
+  }
   std::vector<double> measured;
   std::size_t worker = 0;
   for (auto& [name, entry] : aService.workers) {
-    entry.fitted = paces[worker++];
+    entry.fitted = fit.paces[worker++];
     if (entry.isMeasured) {
       measured.push_back(entry.fitted);
     }
@@ -231,8 +242,8 @@
       measured.push_back(entry.logPace);
     }
   }
+  // At the start of a term, an earlier holder's finding holds until then.
   if (measured.size() < kMinMeasuredWorkers) {
-    aService.isUneven = false;
     return;
   }
   const auto slow = measured.begin() + static_cast<std::ptrdiff_t>(
@@ -266,8 +277,8 @@
     return 1.0;
   }
   const auto found = service->second.workers.find(aWorker);
-  if (found == service->second.workers.end()) {
-    return 1.0;
+  if (found == service->second.workers.end() || !found->second.isMeasured) {
+    return kDoubtfulPace;
   }
   return PaceWithin(found->second.paceClass, std::exp(found->second.logPace));
 }
@@ -279,6 +290,32 @@
   return service != this->services.end() && service->second.isUneven;
 }
 
+std::optional<double>
+WorkerPaces::DeviationOf(const ServiceName& aService,
+                         const WorkerName& aWorker,
+                         std::uint64_t aRun) const
+{
+  const auto service = this->services.find(aService);
+  if (service == this->services.end()) {
+    return std::nullopt;
+  }
+  const auto worker = service->second.workers.find(aWorker);
+  if (worker == service->second.workers.end()) {
+    return std::nullopt;
+  }
+  const PaceHistory::Run* run = worker->second.history.Find(aRun);
+  if (run == nullptr) {
+    return std::nullopt;
+  }
+  const auto rate = run->progress.MeanRate();
+  const auto error = service->second.stepErrors.find(run->step);
+  if (!rate || error == service->second.stepErrors.end()) {
+    return std::nullopt;
+  }
+  return std::log(*rate * run->estimateMs) - worker->second.fitted -
+         error->second;
+}
+
 std::vector<PaceChange>
 WorkerPaces::TakeChanges()
 {
--- a/zones/pace/worker_paces.h
+++ b/zones/pace/worker_paces.h
@@ -8,6 +8,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace sardinecourse {
@@ -46,14 +48,22 @@
   static constexpr Milliseconds kFitInterval{ 500 };
 
   /** Pace of the worker relative to the typical one of its service. It is 1
-   * while too little was measured, and while the service is even: while nearly
-   * all of its workers are fast enough for the tightest objectives. */
+   * while too few workers were measured, and while the service is even: while
+   * nearly all of its workers are fast enough for the tightest objectives. An
+   * unmeasured worker of an uneven service is doubtful. */
   double PaceOf(const ServiceName& aService, const WorkerName& aWorker) const;
   /** Whether the paces of a service's workers differ enough to matter. */
   bool IsUneven(const ServiceName& aService) const;
   /** Workers whose class changed since the last call; clears the list. */
   std::vector<PaceChange> TakeChanges();
 
+  /** Natural logarithm of the mean rate of a run, against what the pace of its
+   * worker and the estimate of its step let expect; empty for a run that was
+   * not measured long enough. */
+  std::optional<double> DeviationOf(const ServiceName& aService,
+                                    const WorkerName& aWorker,
+                                    std::uint64_t aRun) const;
+
   /** Number of measured workers of each class. */
   std::map<PaceClass, std::int64_t> CountByClass() const;
   /** Measured paces of uneven services, for the next holder. */
@@ -66,6 +76,7 @@
   struct Entry
   {
     std::int64_t incarnation = 0;
+    Instant begun{};
     PaceHistory history;
     /** Result of the latest fit, against the estimates. */
     double fitted = 0.0;
@@ -78,13 +89,16 @@
   struct Service
   {
     std::map<WorkerName, Entry> workers;
+    /** By how much runs of the measured steps are faster than estimated, as
+     * natural logarithms. */
+    std::unordered_map<std::uint64_t, double> stepErrors;
     bool isUneven = false;
     /** Whether runs were measured since the latest fit. */
     bool isChanged = false;
   };
 
   void AdoptRecord(const WorkerName& aWorker,
-                   Entry& aEntry,
+                   Service& aService,
                    Instant aNow) const;
   static void FitService(Service& aService);
   static void UpdateUnevenness(Service& aService);
--- a/zones/place_search.cpp
+++ b/zones/place_search.cpp
@@ -91,8 +91,22 @@
   return places;
 }
 
+/** The order in which a gang takes workers within its band. The slowest member
+ * sets the pace of a gang, so it leaves the faster workers to others, unless
+ * slow ones may be among the others. */
+PacePreference
+OrderInBand(PacePreference aPreference, const PaceBand& aBand)
+{
+  const bool mayBeSlow = aBand.slowest < PaceClass::kTypical;
+  return aPreference == PacePreference::kFast && !mayBeSlow
+           ? PacePreference::kSlow
+           : aPreference;
+}
+
 std::optional<std::vector<WorkerName>>
-Fill(const Workers& aWorkers, const PlacementRequest& aRequest)
+Fill(const Workers& aWorkers,
+     const PlacementRequest& aRequest,
+     const PaceBand& aBand)
 {
   std::int64_t fittingTasks = 0;
   for (const CandidateWorker* worker : aWorkers) {
@@ -101,12 +115,8 @@
   if (fittingTasks < aRequest.Count()) {
     return std::nullopt;
   }
-  // The slowest member sets the pace of a gang, so the faster workers of its
-  // band are left to others.
-  const PacePreference order = aRequest.Pace() == PacePreference::kNone
-                                 ? PacePreference::kNone
-                                 : PacePreference::kSlow;
-  std::vector<WorkerName> places = FillSome(aWorkers, aRequest, order);
+  std::vector<WorkerName> places =
+    FillSome(aWorkers, aRequest, OrderInBand(aRequest.Pace(), aBand));
   if (static_cast<std::int32_t>(places.size()) < aRequest.Count()) {
     return std::nullopt;
   }
@@ -114,28 +124,40 @@
 }
 
 /** Of the racks in which all tasks fit, chooses the one with the lowest maximum
- * penalty, then the one with the fewest free accelerators. */
+ * penalty, then the one in which fewest of the tasks need workers that may be
+ * too slow for them, then the one with the fewest free accelerators. */
 std::optional<std::vector<WorkerName>>
-FillOneRack(const Workers& aWorkers, const PlacementRequest& aRequest)
+FillOneRack(const Workers& aWorkers,
+            const PlacementRequest& aRequest,
+            const PaceBand& aBand)
 {
   std::map<RackName, Workers> racks;
   for (const CandidateWorker* worker : aWorkers) {
     racks[worker->Rack()].push_back(worker);
   }
   std::optional<std::vector<WorkerName>> best;
-  std::tuple<std::int32_t, std::int64_t> bestRank;
+  std::tuple<std::int32_t, std::int64_t, std::int64_t> bestRank;
   for (const auto& [name, workers] : racks) {
     std::int64_t fittingTasks = 0;
+    std::int64_t fittingInTime = 0;
     std::int64_t free = 0;
     std::int32_t penalty = 0;
     for (const CandidateWorker* worker : workers) {
-      fittingTasks += TasksThatFit(*worker, aRequest.Need());
+      const std::int32_t here = TasksThatFit(*worker, aRequest.Need());
+      const bool isInTime =
+        aRequest.Pace() != PacePreference::kFast ||
+        PaceClassOf(worker->Outlook().Pace()) >= PaceClass::kTypical;
+      fittingTasks += here;
+      fittingInTime += isInTime ? here : 0;
       free += worker->Free().Accelerators();
       penalty = std::max(penalty, worker->Penalty());
     }
-    const std::tuple rank(penalty, free);
+    const std::tuple rank(
+      penalty,
+      std::max<std::int64_t>(aRequest.Count() - fittingInTime, 0),
+      free);
     if (fittingTasks >= aRequest.Count() && (!best || rank < bestRank)) {
-      best = Fill(workers, aRequest);
+      best = Fill(workers, aRequest, aBand);
       bestRank = rank;
     }
   }
@@ -188,8 +210,9 @@
                  [&band](const CandidateWorker* aWorker) {
                    return band.Contains(PaceClassOf(aWorker->Outlook().Pace()));
                  });
-    auto places = aRequest.RequiresOneRack() ? FillOneRack(inBand, aRequest)
-                                             : Fill(inBand, aRequest);
+    auto places = aRequest.RequiresOneRack()
+                    ? FillOneRack(inBand, aRequest, band)
+                    : Fill(inBand, aRequest, band);
     if (!places) {
       continue;
     }
