--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -3,11 +3,13 @@
 #include "codecs/domain_host_settings_yaml.h"
 #include "codecs/domain_owner_json.h"
 #include "codecs/job_progress_json.h"
+#include "codecs/pace_records_text.h"
 #include "codecs/pending_json.h"
 #include "contracts/domain_owner_builder.h"
 #include "contracts/job_progress_builder.h"
 #include "core/reason.h"
 #include "tests/scheduling/sample_jobs.h"
+#include "zones/pace/pace_records.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -35,6 +37,8 @@
   CPPUNIT_TEST(ProgressOfEarlierVersionsIsRead);
   CPPUNIT_TEST(DomainOwnerRoundTrips);
   CPPUNIT_TEST(PendingCountRoundTrips);
+  CPPUNIT_TEST(StoredPacesRoundTripWithinAFewKilobytes);
+  CPPUNIT_TEST(InvalidStoredPacesAreRefused);
   CPPUNIT_TEST(Base64RoundTripsAndRefusesInvalidText);
   CPPUNIT_TEST(TextOfAnotherFormIsRefused);
   CPPUNIT_TEST(EvacuateTimeMayBeEmpty);
@@ -42,6 +46,39 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void StoredPacesRoundTripWithinAFewKilobytes()
+  {
+    constexpr int kWorkers = 970;
+    constexpr std::size_t kMaxBytes = 6000;
+    PaceRecords records;
+    for (int worker = 0; worker < kWorkers; ++worker) {
+      records.Add(
+        WorkerName("w" + std::to_string(worker)), worker, worker % 5 - 2.0);
+    }
+    const std::string text = EncodePaceRecords(records);
+    CPPUNIT_ASSERT(text.size() <= kMaxBytes);
+    Reason reason;
+    const auto read = DecodePaceRecords(text, reason);
+    CPPUNIT_ASSERT_MESSAGE(reason.Message(), read.has_value());
+    CPPUNIT_ASSERT(records == *read);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(
+      -1.0, read->Find(WorkerName("w6"), 6).value(), 0.01);
+    CPPUNIT_ASSERT(!read->Find(WorkerName("w6"), 7));
+  }
+
+  void InvalidStoredPacesAreRefused()
+  {
+    Reason reason;
+    CPPUNIT_ASSERT(DecodePaceRecords("", reason));
+    for (const std::string& text :
+         { std::string("AAAAA"),
+           std::string("AAAAA!"),
+           std::string("{\"a\":1}"),
+           std::string(std::size_t{ 6 } * 100'000, 'A') }) {
+      CPPUNIT_ASSERT(!DecodePaceRecords(text, reason));
+    }
+  }
+
   void AdmittedJobRoundTrips()
   {
     const AdmittedJob job = MakeAdmitted(
@@ -197,7 +234,8 @@
     const auto host = DecodeDomainHostSettings(
       kHost + "core_share: 0.25\ngrace_s: 4.5\n"
               "timing: {worker_lease_ms: 10000, restart_s: 14.5}\n"
-              "policy: {headroom: 0.15, use_pace: true}\n",
+              "policy: {headroom: 0.15, use_pace: true}\n"
+              "limits: {memory_mb: 120, descriptors: 3075, request_s: 20}\n",
       "f",
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
@@ -211,6 +249,11 @@
     CPPUNIT_ASSERT(host->Policy().IsPaceUsed());
     CPPUNIT_ASSERT(!host->Policy().IsRoomShared());
     CPPUNIT_ASSERT(!host->Policy().AreKindsSeparated());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 30 } << 20U,
+                         host->Limits().MemoryBytes());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 958 }, host->Limits().Connections());
+    CPPUNIT_ASSERT(Milliseconds(20'000) == host->Limits().RequestTime());
+    CPPUNIT_ASSERT(CallerLimits().IdleTime() == host->Limits().IdleTime());
     for (const char* invalidLine : { "core_share: no\n",
                                      "core_share: -1\n",
                                      "threads: 0\n",
@@ -222,6 +265,10 @@
                                      "timing: {evacuate_ms: 0}\n",
                                      "timing: {evacuate_ms: 3999}\n",
                                      "timing: {evacuate_ms: never}\n",
+                                     "limits: {memory_mb: 1}\n",
+                                     "limits: {connections: 0}\n",
+                                     "limits: {caller_memory_mb: 1}\n",
+                                     "limits: {idle: 3}\n",
                                      "timing: {stop_ms: 0}\n",
                                      "timing: {restart_s: 0}\n" }) {
       CPPUNIT_ASSERT_MESSAGE(
