Let the wait for a silent worker outlast its holder

Cause: a holder that took over counted a worker that never answered it as running for the grace time of the lost holder and the longest lease, from its own takeover on.

A worker whose bound may be stored gets no lease and no start until the bound is withdrawn. The row of the holder shows since which term all holders keep this rule, so that hosts of the version before may run beside.

--- a/codecs/domain_owner_json.cpp
+++ b/codecs/domain_owner_json.cpp
@@ -15,7 +15,8 @@
                     { "process", aOwner.Process() },
                     { "term", aOwner.Term() },
                     { "renewal", aOwner.Renewal() },
-                    { "released", aOwner.IsReleased() } });
+                    { "released", aOwner.IsReleased() },
+                    { "bounds_kept_since", aOwner.BoundsKeptSince() } });
 }
 
 std::optional<DomainOwner>
@@ -33,6 +34,7 @@
     .Term(IntegerField(*object, "term"))
     .Renewal(IntegerField(*object, "renewal"))
     .IsReleased(BooleanField(*object, "released"))
+    .BoundsKeptSince(IntegerField(*object, "bounds_kept_since"))
     .Build(aReason);
 }
 
--- a/contracts/domain_gain.h
+++ b/contracts/domain_gain.h
@@ -17,6 +17,8 @@
   /** Latest time at which an earlier holder may have renewed a worker's lease.
    */
   Instant renewedUntil{};
+  /** See DomainOwner::BoundsKeptSince(). */
+  std::int64_t boundsKeptSince = 0;
 
   auto operator<=>(const DomainGain&) const = default;
 };
--- a/contracts/domain_owner.h
+++ b/contracts/domain_owner.h
@@ -23,6 +23,9 @@
   /** True if the holder released the domain; any host may take it over at
    * once. */
   bool IsReleased() const { return this->isReleased; }
+  /** First term from which on every holder has granted a worker no lease while
+   * a bound of its leases was stored; 0 when this holder does not. */
+  std::int64_t BoundsKeptSince() const { return this->boundsKeptSince; }
 
   auto operator<=>(const DomainOwner&) const = default;
 
@@ -34,6 +37,7 @@
   std::int64_t term = 0;
   std::int64_t renewal = 0;
   bool isReleased = false;
+  std::int64_t boundsKeptSince = 0;
 };
 
 }
--- a/contracts/domain_owner_builder.cpp
+++ b/contracts/domain_owner_builder.cpp
@@ -41,6 +41,13 @@
   return *this;
 }
 
+DomainOwnerBuilder&
+DomainOwnerBuilder::BoundsKeptSince(std::int64_t aTerm)
+{
+  this->value.boundsKeptSince = aTerm;
+  return *this;
+}
+
 std::optional<DomainOwner>
 DomainOwnerBuilder::Build(Reason& aReason) const
 {
--- a/contracts/domain_owner_builder.h
+++ b/contracts/domain_owner_builder.h
@@ -18,6 +18,7 @@
   DomainOwnerBuilder& Term(std::int64_t aTerm);
   DomainOwnerBuilder& Renewal(std::int64_t aRenewal);
   DomainOwnerBuilder& IsReleased(bool aIsReleased);
+  DomainOwnerBuilder& BoundsKeptSince(std::int64_t aTerm);
   std::optional<DomainOwner> Build(Reason& aReason) const;
 
 private:
--- a/contracts/row_page.h
+++ b/contracts/row_page.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
   /** True if the store no longer has all changes since the requested
    * revision. */
   bool IsHistoryLost() const { return this->isHistoryLost; }
+  /** Time of the answer on the store's steady clock, in ms; empty if it was not
+   * given. */
+  std::optional<std::int64_t> StoreTimeMs() const { return this->storeTimeMs; }
 
   auto operator<=>(const RowPage&) const = default;
 
@@ -38,6 +42,7 @@
   std::int64_t revision = 0;
   bool hasMore = false;
   bool isHistoryLost = false;
+  std::optional<std::int64_t> storeTimeMs;
 };
 
 }
--- a/contracts/row_page_builder.cpp
+++ b/contracts/row_page_builder.cpp
@@ -41,6 +41,13 @@
   return *this;
 }
 
+RowPageBuilder&
+RowPageBuilder::StoreTimeMs(std::optional<std::int64_t> aStoreTimeMs)
+{
+  this->value.storeTimeMs = aStoreTimeMs;
+  return *this;
+}
+
 std::optional<RowPage>
 RowPageBuilder::Build(Reason& aReason) const
 {
--- a/contracts/row_page_builder.h
+++ b/contracts/row_page_builder.h
@@ -18,6 +18,7 @@
   RowPageBuilder& Revision(std::int64_t aRevision);
   RowPageBuilder& HasMore(bool aHasMore);
   RowPageBuilder& IsHistoryLost(bool aIsHistoryLost);
+  RowPageBuilder& StoreTimeMs(std::optional<std::int64_t> aStoreTimeMs);
   std::optional<RowPage> Build(Reason& aReason) const;
 
 private:
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -12,6 +12,7 @@
 #include "scheduling/domain_term.h"
 #include "scheduling/event_line.h"
 #include "scheduling/job_archive.h"
+#include "scheduling/lease_bound_writer.h"
 #include "scheduling/order_sender.h"
 #include "scheduling/platform_schema.h"
 #include "scheduling/progress_writer.h"
@@ -50,6 +51,7 @@
     , feeds(*this, this->poller)
     , sender(*this)
     , writer(*this, this->sender)
+    , boundWriter(*this)
     , maintenance(*this)
     , archive(*this)
   {
@@ -90,7 +92,10 @@
     bool isLoaded = false;
     while (this->IsActive() && !isLoaded) {
       Reason reason;
-      isLoaded = co_await this->feeds.Load(reason);
+      isLoaded = co_await this->boundWriter.Load(reason);
+      if (isLoaded) {
+        isLoaded = co_await this->feeds.Load(reason);
+      }
       if (!isLoaded) {
         EventLine("domain_load_failed")
           .Field("term", this->Number())
@@ -108,6 +113,7 @@
     this->Spawn([this] { return this->feeds.FollowJobs(); });
     this->Spawn([this] { return this->feeds.FollowWorkers(); });
     this->Spawn([this] { return this->writer.Run(); });
+    this->Spawn([this] { return this->boundWriter.Run(); });
     this->Spawn([this] { return this->maintenance.PublishPending(); });
     this->Spawn([this] { return this->maintenance.PublishUsage(); });
     this->Spawn([this] { return this->PassPeriodically(); });
@@ -165,6 +171,7 @@
   DomainFeeds<Term, Schema> feeds;
   OrderSender<Term> sender;
   ProgressWriter<Term> writer;
+  LeaseBoundWriter<Term> boundWriter;
   DomainMaintenance<Term> maintenance;
   JobArchive<Term> archive;
 };
--- a/scheduling/domain_term.h
+++ b/scheduling/domain_term.h
@@ -72,6 +72,8 @@
   Orders& Workers() { return *this->orders; }
   std::int64_t Number() const { return this->gain.term; }
   std::int64_t Revision() const { return this->gain.termRevision; }
+  /** See DomainOwner::BoundsKeptSince(). */
+  std::int64_t BoundsKeptSince() const { return this->gain.boundsKeptSince; }
   DomainState& Domain() { return this->domain; }
   DomainMetrics& Metrics() { return *this->callbacks.metrics; }
   bool IsActive() const { return this->isActive; }
--- a/scheduling/lease_loop.h
+++ b/scheduling/lease_loop.h
@@ -373,7 +373,11 @@
         co_return;
       }
       if (isCurrent && isStored) {
-        this->listener.gained(DomainGain{ aTerm, revision, aRenewedUntil });
+        this->listener.gained(
+          DomainGain{ aTerm,
+                      revision,
+                      aRenewedUntil,
+                      this->lease.Row()->BoundsKeptSince() });
         co_return;
       }
       EventLine("domain_term_not_stored")
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -43,6 +43,10 @@
  * first time. Each admission depends on its revision, so it is never deleted: a
  * late admission that requires its absence would take effect after all. */
 inline const std::string kUsageRow = "usage";
+/** By when every lease on each unreachable worker has expired. The next holder
+ * relies on it, so a worker is withdrawn from this row before it is granted a
+ * lease again. */
+inline const std::string kLeaseBoundsRow = "lease_bounds";
 
 /** Key of the row in kJobTable that marks aJob as cancelled. */
 std::string
--- a/scheduling/worker_poller.h
+++ b/scheduling/worker_poller.h
@@ -82,8 +82,11 @@
       if (!isAnswered) {
         this->term->Domain().PollFailed(aWorker);
       }
-      if (!isAnswered && this->term->IsActive()) {
-        co_await this->term->PauseFor(Term::kRetryPause * failures);
+      // A poll without a lease does not wait on the worker.
+      const bool isLeaseAwaited = isAnswered && worker->IsWithheld();
+      if (this->term->IsActive() && (!isAnswered || isLeaseAwaited)) {
+        co_await this->term->PauseFor(Term::kRetryPause *
+                                      std::max(failures, 1));
       }
     }
     this->polled.erase(aWorker);
--- a/tests/scheduling/domain_lease_test.cpp
+++ b/tests/scheduling/domain_lease_test.cpp
@@ -1,6 +1,8 @@
 #include "zones/domain_lease.h"
 
+#include "contracts/domain_owner_builder.h"
 #include "contracts/domain_timing.h"
+#include "core/reason.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
@@ -162,6 +164,7 @@
   CPPUNIT_TEST(ReleasedDomainCanBeTakenOverAtOnce);
   CPPUNIT_TEST(ReleasedHolderRenewsNoLeaseAfterTheTakeover);
   CPPUNIT_TEST(ReleaseSoonAfterATakeoverKeepsTheGraceOfTheHolderBefore);
+  CPPUNIT_TEST(BoundsCountFromTheHolderAfterAnOlderBuild);
   CPPUNIT_TEST(HolderGetsGraceToRenewAfterStoreOutage);
   CPPUNIT_TEST_SUITE_END();
 
@@ -229,6 +232,24 @@
       takeover + DomainTiming::kRenewalGrace);
   }
 
+  // Failure: a holder of an earlier build grants leases in spite of a stored
+  // bound, and the holder after it relies on that bound.
+  void BoundsCountFromTheHolderAfterAnOlderBuild()
+  {
+    DomainLease lease(HostName("a"), "p1", kLength);
+    const auto first = lease.RowObserved(std::nullopt, 0, At(0)).TakeoverRow();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, first->BoundsKeptSince());
+    const auto second = lease.RowObserved(first, 1, At(0)).TakeoverRow();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, second->BoundsKeptSince());
+    Reason reason;
+    const auto older =
+      DomainOwnerBuilder().Host(HostName("b")).Term(3).Build(reason);
+    const auto fourth = lease.RowObserved(older, 2, At(0)).TakeoverRow();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 4 }, fourth->BoundsKeptSince());
+    const auto renewed = lease.RowWritten(*fourth, 3, At(0)).RenewalRow(true);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 4 }, renewed->BoundsKeptSince());
+  }
+
   void HolderGetsGraceToRenewAfterStoreOutage()
   {
     const DomainLease holder(HostName("a"), "p1", kLength);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -18,6 +18,8 @@
  * a value in between. */
 constexpr std::int64_t kOrderDelayMs = 4000;
 constexpr Milliseconds kEpoch{ 1'000'000 };
+/** The store's clock and the hosts' clocks have nothing in common. */
+constexpr std::int64_t kStoreEpochMs = 77'000'000;
 
 std::string
 NameOf(const TaskAddress& aTask)
@@ -168,6 +170,8 @@
   const Instant renewedUntil =
     aIsReleased ? this->Now() : this->Now() + DomainTiming::kRenewalGrace;
   this->domain.emplace(this->timing, this->Now(), renewedUntil);
+  this->domain->AdoptLeaseBounds(
+    this->storedBounds, this->boundsKeptSince, this->ReadStoreClock());
   for (const auto& [name, worker] : this->site.workers) {
     this->domain->ListWorker(MakeListing(name, worker.rack), this->Now());
   }
@@ -177,6 +181,23 @@
   }
 }
 
+StoreClock
+DomainWorld::ReadStoreClock() const
+{
+  return StoreClock(kStoreEpochMs + this->site.nowMs, this->Now(), this->Now());
+}
+
+void
+DomainWorld::StoreLeaseBounds()
+{
+  if (this->domain->AreLeaseBoundsDue(this->Now())) {
+    this->storedBounds = this->domain->PlanLeaseBounds(
+      this->term, this->ReadStoreClock(), this->Now());
+    this->domain->LeaseBoundsAnswered(WriteOutcome::kCommitted);
+    ++this->boundWrites;
+  }
+}
+
 void
 DomainWorld::StoreJob(const JobKey& aKey)
 {
@@ -197,6 +218,7 @@
   if (this->isStoreDown) {
     return;
   }
+  this->StoreLeaseBounds();
   for (const JobKey& key : this->domain->DirtyJobs()) {
     this->StoreJob(key);
   }
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "contracts/domain_timing.h"
+#include "contracts/store_clock.h"
 #include "tests/scheduling/sample_jobs.h"
 #include "tests/stand_ins/site_simulation.h"
 #include "zones/domain_state.h"
@@ -42,6 +43,10 @@
   SiteSimulation site;
   bool isStoreDown = false;
   bool isHolderStalled = false;
+  /** Number of writes of lease bounds. */
+  int boundWrites = 0;
+  /** See DomainOwner::BoundsKeptSince(). */
+  std::int64_t boundsKeptSince = 1;
   std::set<std::string> cutOff;
   /** Runs that the passes gave up because of their worker's lease. */
   std::vector<GivenUpRuns> givenUp;
@@ -98,7 +103,9 @@
     std::function<void()> execute;
   };
 
+  StoreClock ReadStoreClock() const;
   void Store();
+  void StoreLeaseBounds();
   void StoreJob(const JobKey& aKey);
   void SendStart(const StartOrder& aOrder, OrderFault aFault);
   void SendStop(const StopOrder& aOrder, OrderFault aFault);
@@ -113,6 +120,7 @@
   std::map<std::string, Stored> store;
   std::int64_t revision = 0;
   std::int64_t term = 0;
+  LeaseBounds storedBounds;
   std::optional<DomainState> domain;
   PreemptionReservations reservations;
   std::vector<StartOrder> unsentStarts;
--- a/tests/scheduling/fake_row_store.h
+++ b/tests/scheduling/fake_row_store.h
@@ -47,6 +47,8 @@
   /** Called in turn, one before each read. */
   std::deque<std::function<void()>> beforeReads;
   int commits = 0;
+  /** Time on the store's clock that a read answers. */
+  std::int64_t timeMs = 5000;
   /** Transactions that exceeded a limit of the platform's store. */
   int refusals = 0;
 
@@ -80,6 +82,7 @@
     auto page = RowPageBuilder()
                   .Rows(std::move(found))
                   .Revision(this->revision)
+                  .StoreTimeMs(this->timeMs)
                   .Build(aReason);
     co_return page;
   }
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -133,11 +133,14 @@
   }
   const HttpTarget target(aRequest.target);
   if (target.Path() == "/api/rows-get") {
-    co_return Answer(200,
-                     this->store.Range(target.Query("Table"),
-                                       target.Query("part"),
-                                       target.Query("From"),
-                                       target.Query("Target")));
+    json range = this->store.Range(target.Query("Table"),
+                                   target.Query("part"),
+                                   target.Query("From"),
+                                   target.Query("Target"));
+    range["NowMs"] =
+      std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch())
+        .count();
+    co_return Answer(200, range);
   }
   const json transaction = json::parse(aRequest.body, nullptr, false);
   if (const std::string refusal = SiteStore::Refusal(transaction);
--- a/zones/domain_lease.cpp
+++ b/zones/domain_lease.cpp
@@ -107,7 +107,9 @@
 {
   const std::int64_t term =
     std::max(this->row ? this->row->Term() : 0, aLastTerm);
-  return this->MakeOwner(term + 1, 0, false);
+  // A holder of a build without bounds writes the row without this term.
+  const std::int64_t kept = this->row ? this->row->BoundsKeptSince() : 0;
+  return this->MakeOwner(term + 1, 0, false, kept > 0 ? kept : term + 1);
 }
 
 std::optional<DomainOwner>
@@ -116,14 +118,17 @@
   if (!this->row) {
     return std::nullopt;
   }
-  return this->MakeOwner(
-    this->row->Term(), this->row->Renewal() + 1, aIsRelease);
+  return this->MakeOwner(this->row->Term(),
+                         this->row->Renewal() + 1,
+                         aIsRelease,
+                         this->row->BoundsKeptSince());
 }
 
 std::optional<DomainOwner>
 DomainLease::MakeOwner(std::int64_t aTerm,
                        std::int64_t aRenewal,
-                       bool aIsReleased) const
+                       bool aIsReleased,
+                       std::int64_t aBoundsKeptSince) const
 {
   Reason ignored; // Fails only for an empty host name, which self never is.
   return DomainOwnerBuilder()
@@ -132,6 +137,7 @@
     .Term(aTerm)
     .Renewal(aRenewal)
     .IsReleased(aIsReleased)
+    .BoundsKeptSince(aBoundsKeptSince)
     .Build(ignored);
 }
 
--- a/zones/domain_lease.h
+++ b/zones/domain_lease.h
@@ -62,7 +62,8 @@
 private:
   std::optional<DomainOwner> MakeOwner(std::int64_t aTerm,
                                        std::int64_t aRenewal,
-                                       bool aIsReleased) const;
+                                       bool aIsReleased,
+                                       std::int64_t aBoundsKeptSince) const;
 
   HostName self;
   std::string process;
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -27,6 +27,14 @@
 constexpr Milliseconds kArchiveDelay{ 2000 };
 /** Covers workers whose clocks run 2% slow, over the longest lease. */
 constexpr Milliseconds kLeaseMargin{ 500 };
+/** Time without an answer after which the bound of a worker's leases is stored.
+ * It exceeds the pause after a failed poll, so that a single refused call
+ * stores nothing, and is short beside the time between two holders. */
+constexpr Milliseconds kMinSilence{ 500 };
+/** Encoded size of a lease bound beside its worker's name. */
+constexpr std::size_t kBoundBytes = 40;
+/** The bounds are stored in one row, whose encoding must not exceed 64 KB. */
+constexpr std::size_t kMaxBoundsBytes = 40'000;
 
 }
 
@@ -68,6 +76,8 @@
     for (const MemberRun& member : unit.Members()) {
       if (TrackedWorker* worker = this->FindWorker(member.worker)) {
         this->AllocateResources(job, unit, *worker);
+      } else if (member.phase != MemberPhase::kGone) {
+        this->unlistedPlaces.insert(member.worker);
       }
     }
   }
@@ -142,6 +152,7 @@
   if (!isNew) {
     return;
   }
+  position->second.SetWithheld(this->leaseBounds.MayBeStored(aListing.Name()));
   for (const JobKey& key : this->active) {
     const TrackedJob& job = this->jobs.at(key);
     for (const auto& [number, unit] : job.OpenUnits()) {
@@ -173,15 +184,119 @@
 
 bool
 DomainState::MayStillRun(const WorkerName& aWorker, Instant aNow) const
+{
+  return aNow <= this->LeaseBoundOf(aWorker, aNow);
+}
+
+Instant
+DomainState::LeaseBoundOf(const WorkerName& aWorker, Instant aNow) const
+{
+  const auto found = this->workers.find(aWorker);
+  const TrackedWorker* worker =
+    found == this->workers.end() ? nullptr : &found->second;
+  if (worker != nullptr && worker->IsReplaced()) {
+    return Instant();
+  }
+  if (worker != nullptr && worker->HasAnswered()) {
+    return aNow + worker->LeaseLeft(aNow);
+  }
+  // Leases are granted only to workers that answer, so a bound that an earlier
+  // holder stored holds however many holders came after it.
+  const Instant granted =
+    this->renewedUntil + this->timing.GrantedLease() + kLeaseMargin;
+  return std::min(granted,
+                  this->leaseBounds.StoredFor(aWorker).value_or(granted));
+}
+
+bool
+DomainState::IsUnreachable(const WorkerName& aWorker, Instant aNow) const
 {
   const auto found = this->workers.find(aWorker);
-  const bool isIncarnationKnown =
-    found != this->workers.end() &&
-    (found->second.HasAnswered() || found->second.IsReplaced());
-  if (isIncarnationKnown) {
-    return !found->second.IsLeaseExpired(aNow);
+  if (found == this->workers.end()) {
+    return true; // Not listed to this holder, which does not poll it.
+  }
+  const TrackedWorker& worker = found->second;
+  const bool isPolled = worker.Listed() || worker.HasAnswered();
+  return !isPolled || (worker.IsPollFailed() &&
+                       aNow >= this->SilentSince(aWorker) + kMinSilence);
+}
+
+std::map<WorkerName, Instant>
+DomainState::WantedLeaseBounds(Instant aNow) const
+{
+  std::map<WorkerName, Instant> wanted;
+  std::size_t bytes = 0;
+  for (const auto& [name, until] : this->leaseBounds.Stored()) {
+    const auto found = this->workers.find(name);
+    const bool isAnswering =
+      found != this->workers.end() && found->second.IsAnswering();
+    // The next holder may still load the runs from progress that was stored
+    // before they were given up.
+    const Instant keptUntil =
+      std::max(until, this->holderSince) + this->timing.RestartTime();
+    if (!isAnswering && aNow < keptUntil) {
+      wanted.emplace(name, until);
+      bytes += name.Text().size() + kBoundBytes;
+    }
+  }
+  const auto add = [&](const WorkerName& aWorker) {
+    const Instant until = this->LeaseBoundOf(aWorker, aNow);
+    const bool isNeeded = !wanted.contains(aWorker) && until > aNow &&
+                          !this->leaseBounds.StoredFor(aWorker) &&
+                          this->IsUnreachable(aWorker, aNow);
+    if (isNeeded && bytes < kMaxBoundsBytes) {
+      wanted.emplace(aWorker, until);
+      bytes += aWorker.Text().size() + kBoundBytes;
+    }
+  };
+  for (const auto& [name, worker] : this->workers) {
+    if (!worker.IsAnswering() && !worker.Tasks().empty()) {
+      add(name);
+    }
+  }
+  std::for_each(this->unlistedPlaces.begin(), this->unlistedPlaces.end(), add);
+  return wanted;
+}
+
+void
+DomainState::AdoptLeaseBounds(const LeaseBounds& aStored,
+                              std::int64_t aKeptSince,
+                              const StoreClock& aClock)
+{
+  this->leaseBounds.Adopt(aStored, aKeptSince, aClock);
+  this->UpdateWithheld();
+}
+
+bool
+DomainState::AreLeaseBoundsDue(Instant aNow) const
+{
+  return this->leaseBounds.IsDue(this->WantedLeaseBounds(aNow));
+}
+
+LeaseBounds
+DomainState::PlanLeaseBounds(std::int64_t aTerm,
+                             const StoreClock& aClock,
+                             Instant aNow)
+{
+  LeaseBounds planned =
+    this->leaseBounds.Plan(this->WantedLeaseBounds(aNow), aTerm, aClock);
+  this->UpdateWithheld();
+  return planned;
+}
+
+void
+DomainState::LeaseBoundsAnswered(WriteOutcome aOutcome)
+{
+  this->leaseBounds.Answered(aOutcome);
+  this->UpdateWithheld();
+}
+
+void
+DomainState::UpdateWithheld()
+{
+  for (auto& [name, worker] : this->workers) {
+    worker.SetWithheld(this->leaseBounds.MayBeStored(name));
   }
-  return aNow < this->renewedUntil + this->timing.GrantedLease() + kLeaseMargin;
 }
 
 Instant
@@ -440,10 +555,10 @@
 {
   const auto [job, unit, member] = this->FindRun(aOrder.Task(), aOrder.Run());
   TrackedWorker* worker = this->FindWorker(aOrder.Worker());
-  const bool isStillNeeded = job != nullptr && !job->Final() &&
-                             member != nullptr &&
-                             member->phase == MemberPhase::kOrdered &&
-                             !member->stopSentAt && worker != nullptr;
+  const bool isStillNeeded =
+    job != nullptr && !job->Final() && member != nullptr &&
+    member->phase == MemberPhase::kOrdered && !member->stopSentAt &&
+    worker != nullptr && !worker->IsWithheld();
   if (!isStillNeeded) {
     return std::nullopt;
   }
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -6,6 +6,7 @@
 #include "contracts/task_address.h"
 #include "core/instant.h"
 #include "core/names.h"
+#include "zones/lease_bound_record.h"
 #include "zones/queue_run_times.h"
 #include "zones/start_order.h"
 #include "zones/stop_order.h"
@@ -77,6 +78,20 @@
   /** Whether a run may still be on the worker, including one that an earlier
    * holder started. */
   bool MayStillRun(const WorkerName& aWorker, Instant aNow) const;
+  /** Adopts the bounds of the leases on unreachable workers that earlier
+   * holders stored; see LeaseBoundRecord::Adopt(). */
+  void AdoptLeaseBounds(const LeaseBounds& aStored,
+                        std::int64_t aKeptSince,
+                        const StoreClock& aClock);
+  /** Whether the stored bounds of the leases on unreachable workers have to
+   * change. */
+  bool AreLeaseBoundsDue(Instant aNow) const;
+  /** The bounds to store now. A worker that is in them gets no lease until
+   * LeaseBoundsAnswered() has shown that the store does not hold its bound. */
+  LeaseBounds PlanLeaseBounds(std::int64_t aTerm,
+                              const StoreClock& aClock,
+                              Instant aNow);
+  void LeaseBoundsAnswered(WriteOutcome aOutcome);
   /** When the worker last answered this holder, or the start of the term when
    * it never did. */
   Instant SilentSince(const WorkerName& aWorker) const;
@@ -161,6 +176,12 @@
                           StopCause aCause);
 
 private:
+  /** By when every lease on the worker has expired. */
+  Instant LeaseBoundOf(const WorkerName& aWorker, Instant aNow) const;
+  bool IsUnreachable(const WorkerName& aWorker, Instant aNow) const;
+  /** Bounds that the store should hold. */
+  std::map<WorkerName, Instant> WantedLeaseBounds(Instant aNow) const;
+  void UpdateWithheld();
   const QueueName& CurrentQueueName(const AdmittedJob& aJob) const;
   void AllocateResources(const TrackedJob& aJob,
                          const TaskUnit& aUnit,
@@ -196,6 +217,9 @@
   /** Archived jobs, with the time from which their retention counts. */
   std::map<JobKey, Instant> archived;
   std::map<WorkerName, TrackedWorker> workers;
+  /** Workers that were not listed when a job with runs on them was added. */
+  std::set<WorkerName> unlistedPlaces;
+  LeaseBoundRecord leaseBounds;
   std::map<TeamName, std::int64_t> guarantees;
   std::map<QueueAddress, QueueName> queueNames;
   std::vector<StopOrder> orphans;
--- a/zones/tracked_worker.cpp
+++ b/zones/tracked_worker.cpp
@@ -68,6 +68,7 @@
   this->hasAnswered = true;
   this->isReplaced = false;
   this->isIncarnationConfirmed = true;
+  this->isPollFailed = false;
   // Answers may arrive out of order; the clock only moves forward.
   if (aClockMs >= this->clockMs) {
     this->clockMs = aClockMs;
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -80,9 +80,25 @@
    * when the latest answer is too old to rule out an unnoticed crash: the
    * worker may have restarted since, and its numbers with it. */
   std::int64_t Acknowledged(Instant aNow) const;
-  void PollFailed() { this->isIncarnationConfirmed = false; }
+  void PollFailed()
+  {
+    this->isIncarnationConfirmed = false;
+    this->isPollFailed = true;
+  }
+  /** Whether a poll failed since the latest answer. */
+  bool IsPollFailed() const { return this->isPollFailed; }
   /** Whether the latest poll was answered. */
-  bool IsIncarnationConfirmed() const { return this->isIncarnationConfirmed; }
+  bool IsAnswering() const { return this->isIncarnationConfirmed; }
+  /** Whether the latest poll was answered and the worker may be granted leases.
+   */
+  bool IsIncarnationConfirmed() const
+  {
+    return this->isIncarnationConfirmed && !this->isWithheld;
+  }
+  /** Records whether the worker gets no lease because a bound of its leases may
+   * be stored. */
+  void SetWithheld(bool aIsWithheld) { this->isWithheld = aIsWithheld; }
+  bool IsWithheld() const { return this->isWithheld; }
   void Acknowledge(std::int64_t aNumber) { this->acknowledged = aNumber; }
 
   void NoteSuccess();
@@ -112,6 +128,8 @@
   Resources used;
   Resources orphanUsage;
   bool isIncarnationConfirmed = false;
+  bool isPollFailed = false;
+  bool isWithheld = false;
   std::int64_t lastEnd = 0;
   std::int64_t acknowledged = 0;
   std::deque<UnstoredEnd> unstoredEnds;
