--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -19,6 +19,8 @@
  * a value in between. */
 constexpr std::int64_t kOrderDelayMs = 4000;
 constexpr Milliseconds kEpoch{ 1'000'000 };
+/** The store's clock and the hosts' clocks have nothing in common. */
+constexpr std::int64_t kStoreEpochMs = 77'000'000;
 
 std::string
 NameOf(const TaskAddress& aTask)
@@ -211,6 +213,8 @@
   this->domain.emplace(this->timing, this->Now(), renewedUntil);
   this->domain->SetEvacuations(std::exchange(this->nextView, formerView));
   std::swap(this->isHolderBlind, this->isNextBlind);
+  this->domain->AdoptLeaseBounds(
+    this->storedBounds, this->boundsKeptSince, this->ReadStoreClock());
   for (const auto& [name, worker] : this->site.workers) {
     this->domain->ListWorker(this->ListingOf(worker), this->Now());
   }
@@ -220,6 +224,23 @@
   }
 }
 
+StoreClock
+DomainWorld::ReadStoreClock() const
+{
+  return StoreClock(kStoreEpochMs + this->site.nowMs, this->Now(), this->Now());
+}
+
+void
+DomainWorld::StoreLeaseBounds()
+{
+  if (this->domain->AreLeaseBoundsDue(this->Now())) {
+    this->storedBounds = this->domain->PlanLeaseBounds(
+      this->term, this->ReadStoreClock(), this->Now());
+    this->domain->LeaseBoundsAnswered(WriteOutcome::kCommitted);
+    ++this->boundWrites;
+  }
+}
+
 void
 DomainWorld::StoreJob(const JobKey& aKey)
 {
@@ -240,6 +261,7 @@
   if (this->isStoreDown) {
     return;
   }
+  this->StoreLeaseBounds();
   for (const JobKey& key : this->domain->DirtyJobs()) {
     this->StoreJob(key);
   }
