Stop runs only where that helps, and end gangs that leaving workers will end

Change: an urgent unit that cannot be in time has no run stopped, unless its guarantee makes it begin within the reclaim time; runs that end within the time of a stop are not stopped; what was freed for one unit of a pass no longer counts for the next (two jobs of a burst reserved the same worker). A run that saves nothing is given up as soon as a leaving worker's stated time is less than half of what the run needs. Gangs start in as few data centres as possible, on workers that are as good.

--- a/machines/worker_listing.h
+++ b/machines/worker_listing.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/endpoint.h"
+#include "core/instant.h"
 #include "core/names.h"
 #include "machines/resources.h"
 
 #include <compare>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,12 @@
   const Resources& Capacity() const { return this->capacity; }
   /** True when it takes no new work because it will be shut down. */
   bool IsLeaving() const { return this->isLeaving; }
+  /** How long a worker that is leaving stays at least, from when it was listed;
+   * empty when that is not known. */
+  const std::optional<Milliseconds>& TimeLeft() const
+  {
+    return this->timeLeft;
+  }
 
   auto operator<=>(const WorkerListing&) const = default;
 
@@ -40,6 +48,7 @@
   std::vector<std::string> labels;
   Resources capacity;
   bool isLeaving = false;
+  std::optional<Milliseconds> timeLeft;
 };
 
 }
--- a/machines/worker_listing_builder.cpp
+++ b/machines/worker_listing_builder.cpp
@@ -62,6 +62,13 @@
   return *this;
 }
 
+WorkerListingBuilder&
+WorkerListingBuilder::TimeLeft(std::optional<Milliseconds> aTime)
+{
+  this->value.timeLeft = aTime;
+  return *this;
+}
+
 std::optional<WorkerListing>
 WorkerListingBuilder::Build(Reason& aReason) const
 {
--- a/machines/worker_listing_builder.h
+++ b/machines/worker_listing_builder.h
@@ -21,6 +21,7 @@
   WorkerListingBuilder& Labels(std::vector<std::string> aLabels);
   WorkerListingBuilder& Capacity(Resources aCapacity);
   WorkerListingBuilder& IsLeaving(bool aIsLeaving);
+  WorkerListingBuilder& TimeLeft(std::optional<Milliseconds> aTime);
   std::optional<WorkerListing> Build(Reason& aReason) const;
 
 private:
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -2,10 +2,12 @@
 
 #include "contracts/progress_limits.h"
 #include "zones/domain_state.h"
+#include "zones/locality/few_data_centres.h"
 #include "zones/place_search.h"
 #include "zones/preemption_reservations.h"
 #include "zones/run_monitor.h"
 #include "zones/step_placement_request.h"
+#include "zones/stops/departure.h"
 #include "zones/work_size.h"
 
 #include <algorithm>
@@ -69,6 +71,7 @@
             aReservations,
             this->view,
             aNow,
+            aWallTime,
             aPolicy.MaxPreemptionWaste())
 {
 }
@@ -79,6 +82,7 @@
   this->reservations->DropExpired(this->now);
   if (this->domain->IsSweepDue(this->now)) {
     this->decisions.givenUp = RunMonitor(*this->domain, this->now).Run();
+    GiveUpRunsOnLeavingWorkers(*this->domain, this->now);
   }
   this->StopUnneeded();
   for (const WaitingGroup& group : this->WaitingGroups()) {
@@ -401,15 +405,25 @@
   const PlacementRequest anywhere =
     MakePlacementRequest(step, aUnit.Count(), false);
   auto places = this->view.Find(aJob, aUnit, aRef, local);
-  if (places || local == anywhere) {
-    return places;
+  if (local != anywhere) {
+    if (places) {
+      return places;
+    }
+    const bool mayWait =
+      !aIsOverdue && this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
+    if (mayWait &&
+        CouldFit(this->view.CandidatesFor(aJob, aUnit, aRef), local)) {
+      return std::nullopt;
+    }
+    places = this->view.Find(aJob, aUnit, aRef, anywhere);
   }
-  const bool mayWait =
-    !aIsOverdue && this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
-  if (mayWait && CouldFit(this->view.CandidatesFor(aJob, aUnit, aRef), local)) {
+  if (!places) {
     return std::nullopt;
   }
-  return this->view.Find(aJob, aUnit, aRef, anywhere);
+  return FindPlacesInFewDataCentres(*this->domain,
+                                    this->view.CandidatesFor(aJob, aUnit, aRef),
+                                    anywhere,
+                                    *places);
 }
 
 Milliseconds
--- a/zones/preemptible_run.h
+++ b/zones/preemptible_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/instant.h"
 #include "core/names.h"
 #include "machines/resources.h"
 
@@ -10,14 +11,19 @@
 
 namespace sardinecourse {
 
-/** A run that may be stopped to free resources for a more urgent unit. */
+/** A run whose resources a more urgent unit may get, because it is stopped or
+ * ends by itself. */
 struct PreemptibleRun
 {
   /** Work lost if the run is stopped, in core-seconds. */
   double lostWork = 0.0;
-  /** Resources that stopping the run frees, by worker; a worker may occur
+  /** Resources that the end of the run frees, by worker; a worker may occur
    * several times. */
   std::vector<std::pair<WorkerName, Resources>> resources;
+  /** Time until the run is expected to end by itself; the maximum when that is
+   * not known. */
+  Milliseconds timeLeft = Milliseconds::max();
+  bool isStoppable = true;
 
   auto operator<=>(const PreemptibleRun&) const = default;
 };
--- a/zones/preemption_search.cpp
+++ b/zones/preemption_search.cpp
@@ -53,6 +53,7 @@
                              .Total(worker.Total())
                              .MaxTasks(worker.MaxTasks())
                              .Penalty(worker.Penalty())
+                             .Outlook(worker.Outlook())
                              .Build(ignored);
     if (candidate) {
       workers.push_back(*candidate);
--- a/zones/stop_cause.h
+++ b/zones/stop_cause.h
@@ -18,6 +18,8 @@
   kMemberEnded,
   /** Its resources are needed for a more urgent unit. */
   kPreempted,
+  /** A member's worker leaves long before the run can end. */
+  kWorkerLeaving,
   /** The run reports no progress. */
   kStalled,
   /** The lease of a member's worker has expired. */
@@ -46,6 +48,8 @@
       return "member_ended";
     case StopCause::kPreempted:
       return "preempted";
+    case StopCause::kWorkerLeaving:
+      return "worker_leaving";
     case StopCause::kStalled:
       return "stalled";
     case StopCause::kLeaseExpired:
--- a/zones/tracked_worker.cpp
+++ b/zones/tracked_worker.cpp
@@ -43,8 +43,12 @@
 {
   if (!aListing.IsLeaving()) {
     this->leavingSince.reset();
+    this->staysUntil.reset();
   } else if (!this->leavingSince) {
     this->leavingSince = aNow;
+    if (aListing.TimeLeft()) {
+      this->staysUntil = aNow + *aListing.TimeLeft();
+    }
   }
   this->listing = std::move(aListing);
   this->listed = true;
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -25,6 +25,9 @@
   /** When the worker was first listed as leaving; empty while it is not
    * leaving. */
   std::optional<Instant> LeavingSince() const { return this->leavingSince; }
+  /** Until when a worker that is leaving stays at least; empty when that is not
+   * known. */
+  const std::optional<Instant>& StaysUntil() const { return this->staysUntil; }
 
   std::int64_t Incarnation() const { return this->incarnation; }
   /** Whether the worker has answered this holder; from then on it refuses
@@ -102,6 +105,7 @@
   WorkerListing listing;
   bool listed = true;
   std::optional<Instant> leavingSince;
+  std::optional<Instant> staysUntil;
   bool hasAnswered = false;
   bool isReplaced = false;
   std::int64_t incarnation = 0;
