Order waiting work by how teams and callers of data centres were served

Cause: the order within a priority was age alone, so nothing made up to a team or to the callers of a data centre for being served worse than others. Change: with policy.share_room, a job goes back behind others of its priority by up to its objective for what its team, and by up to its objective for what the callers of its data centre, got done in time more than the worst-served of them; jobs that cannot be done within three times their objective go back by three more. All shifts are bounded, so every job comes to the front. Urgent jobs of teams within their guarantee go before those beyond it. Shares count work, so splitting jobs gains nothing, and a team that asks for more than an equal part is measured by that part. State: late open jobs and a history of ends that halves in 60 s, in the holder, forgotten at a takeover. A job's row names the data centre of the host that admitted it; rows of earlier versions have none.

--- a/codecs/admitted_job_json.cpp
+++ b/codecs/admitted_job_json.cpp
@@ -101,24 +101,29 @@
   for (const JobStep& step : aJob.Plan().Steps()) {
     steps.push_back(EncodeStep(step));
   }
-  return JsonText(
-    { { "key", aJob.Key().Text() },
-      { "queue", aJob.Queue().Text() },
-      { "address", aJob.Address().Text() },
-      { "service", aJob.Service().Text() },
-      { "team", aJob.Team().Text() },
-      { "priority", aJob.Priority() },
-      { "most_attempts", aJob.MaxAttempts() },
-      { "stretch_thousandths",
-        static_cast<std::int64_t>(aJob.Stretch() * kThousandths) },
-      { "allowance_ms", aJob.Allowance().count() },
-      { "admitted_ms", aJob.Admitted().time_since_epoch().count() },
-      { "payload", aJob.Plan().Payload() },
-      { "steps", std::move(steps) },
-      { "occurrences", aJob.Plan().Occurrences() },
-      { "timed", aJob.Plan().IsTimed() },
-      { "first_due_ms", aJob.Plan().FirstDue().time_since_epoch().count() },
-      { "interval_ms", aJob.Plan().Interval().count() } });
+  nlohmann::json job{
+    { "key", aJob.Key().Text() },
+    { "queue", aJob.Queue().Text() },
+    { "address", aJob.Address().Text() },
+    { "service", aJob.Service().Text() },
+    { "team", aJob.Team().Text() },
+    { "priority", aJob.Priority() },
+    { "most_attempts", aJob.MaxAttempts() },
+    { "stretch_thousandths",
+      static_cast<std::int64_t>(aJob.Stretch() * kThousandths) },
+    { "allowance_ms", aJob.Allowance().count() },
+    { "admitted_ms", aJob.Admitted().time_since_epoch().count() },
+    { "payload", aJob.Plan().Payload() },
+    { "steps", std::move(steps) },
+    { "occurrences", aJob.Plan().Occurrences() },
+    { "timed", aJob.Plan().IsTimed() },
+    { "first_due_ms", aJob.Plan().FirstDue().time_since_epoch().count() },
+    { "interval_ms", aJob.Plan().Interval().count() }
+  };
+  if (!aJob.DataCentre().Empty()) {
+    job["data_centre"] = aJob.DataCentre().Text();
+  }
+  return JsonText(job);
 }
 
 std::optional<AdmittedJob>
@@ -139,6 +144,7 @@
     .Address(QueueAddress(TextField(*job, "address")))
     .Service(ServiceName(TextField(*job, "service")))
     .Team(TeamName(TextField(*job, "team")))
+    .DataCentre(DataCentreName(TextField(*job, "data_centre")))
     .Priority(SmallIntegerField(*job, "priority"))
     .MaxAttempts(SmallIntegerField(*job, "most_attempts", 1))
     .Stretch(static_cast<double>(IntegerField(*job, "stretch_thousandths")) /
--- a/contracts/admitted_job.h
+++ b/contracts/admitted_job.h
@@ -22,6 +22,9 @@
   const ServiceName& Service() const { return this->service; }
   /** Empty for a job submitted through a public queue. */
   const TeamName& Team() const { return this->team; }
+  /** Data centre of the host that accepted the job; empty for a job that an
+   * earlier version accepted. */
+  const DataCentreName& DataCentre() const { return this->dataCentre; }
   /** Lower values run first; 0 is the most urgent. */
   std::int32_t Priority() const { return this->priority; }
   /** Number of failed runs of one task after which the job fails. */
@@ -45,6 +48,7 @@
   QueueAddress address;
   ServiceName service;
   TeamName team;
+  DataCentreName dataCentre;
   std::int32_t priority = 0;
   std::int32_t maxAttempts = 1;
   double stretch = 1.0;
--- a/contracts/admitted_job_builder.cpp
+++ b/contracts/admitted_job_builder.cpp
@@ -41,6 +41,13 @@
   return *this;
 }
 
+AdmittedJobBuilder&
+AdmittedJobBuilder::DataCentre(DataCentreName aDataCentre)
+{
+  this->value.dataCentre = std::move(aDataCentre);
+  return *this;
+}
+
 AdmittedJobBuilder&
 AdmittedJobBuilder::Priority(std::int32_t aPriority)
 {
--- a/contracts/admitted_job_builder.h
+++ b/contracts/admitted_job_builder.h
@@ -18,6 +18,7 @@
   AdmittedJobBuilder& Address(QueueAddress aAddress);
   AdmittedJobBuilder& Service(ServiceName aService);
   AdmittedJobBuilder& Team(TeamName aTeam);
+  AdmittedJobBuilder& DataCentre(DataCentreName aDataCentre);
   AdmittedJobBuilder& Priority(std::int32_t aPriority);
   AdmittedJobBuilder& MaxAttempts(std::int32_t aMaxAttempts);
   AdmittedJobBuilder& Stretch(double aStretch);
--- a/daemon/caller_thread.cpp
+++ b/daemon/caller_thread.cpp
@@ -22,6 +22,7 @@
   , ingress(this->jobApi)
   , server(this->context, this->ingress)
 {
+  this->jobApi.SetDataCentre(aHost.DataCentre());
 }
 
 CallerThread::~CallerThread()
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -63,6 +63,12 @@
   {
   }
 
+  /** Sets the data centre that is recorded for the jobs admitted here. */
+  void SetDataCentre(DataCentreName aDataCentre)
+  {
+    this->dataCentre = std::move(aDataCentre);
+  }
+
   /** Retries of calls end by aTime, whatever the calls' deadlines. */
   void AnswerBy(Instant aTime) { this->answerBy = aTime; }
 
@@ -373,6 +379,7 @@
                        .Address(aCallContext.queue.Address())
                        .Service(aCallContext.queue.Service())
                        .Team(aCallContext.team)
+                       .DataCentre(this->dataCentre)
                        .Priority(aCallContext.queue.Priority())
                        .MaxAttempts(aCallContext.queue.MaxAttempts())
                        .Stretch(aCallContext.queue.Stretch())
@@ -644,6 +651,7 @@
   DomainMetrics* metrics;
   StoreHealth storeHealth;
   KnownUsage usage;
+  DataCentreName dataCentre;
   Milliseconds maxConfirmationAge;
   Instant answerBy = Instant::max();
   CatalogCallback onCatalogRow;
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -30,6 +30,7 @@
 {
   CPPUNIT_TEST_SUITE(DomainCodecsTest);
   CPPUNIT_TEST(AdmittedJobRoundTrips);
+  CPPUNIT_TEST(JobOfEarlierVersionHasNoDataCentre);
   CPPUNIT_TEST(JobProgressRoundTrips);
   CPPUNIT_TEST(ProgressRowsRoundTripWithinTheirLimit);
   CPPUNIT_TEST(ProgressOfEarlierVersionsIsRead);
@@ -41,6 +42,16 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void JobOfEarlierVersionHasNoDataCentre()
+  {
+    Reason reason;
+    const AdmittedJob job = MakeAdmitted("job", 1, { Valid(QuarterStep(1)) });
+    const std::string text = EncodeAdmittedJob(job);
+    CPPUNIT_ASSERT(text.find("data_centre") == std::string::npos);
+    const auto read = DecodeAdmittedJob(text, reason);
+    CPPUNIT_ASSERT(read.has_value() && read->DataCentre().Empty());
+  }
+
   void AdmittedJobRoundTrips()
   {
     const AdmittedJob job = MakeAdmitted(
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/domain_job_api.h"
 
+#include "codecs/admitted_job_json.h"
 #include "codecs/domain_usage_json.h"
 #include "contracts/domain_usage_builder.h"
 #include "contracts/job_queue_builder.h"
@@ -45,6 +46,7 @@
 {
   CPPUNIT_TEST_SUITE(DomainJobApiTest);
   CPPUNIT_TEST(StoredJobIsAccepted);
+  CPPUNIT_TEST(StoredJobNamesDataCentreOfItsHost);
   CPPUNIT_TEST(RepeatedSubmitStoresOneJob);
   CPPUNIT_TEST(LostCommitAnswerIsRetriedBeforeReply);
   CPPUNIT_TEST(UnresolvedCommitIsReportedAsNotKnown);
@@ -83,6 +85,16 @@
     CPPUNIT_ASSERT(JobState::kAdmitted == shown.state);
   }
 
+  void StoredJobNamesDataCentreOfItsHost()
+  {
+    this->Submit();
+    Reason reason;
+    const auto job =
+      DecodeAdmittedJob(this->store.Find(kJobTable, kJob)->Value(), reason);
+    CPPUNIT_ASSERT(job.has_value());
+    CPPUNIT_ASSERT(DataCentreName("north") == job->DataCentre());
+  }
+
   void RepeatedSubmitStoresOneJob()
   {
     this->Submit();
@@ -416,6 +428,7 @@
       this->metrics,
       Milliseconds(5000),
       [this](const TableRow&) { ++this->catalogRows; });
+    jobApi.SetDataCentre(DataCentreName("north"));
     jobApi.AnswerBy(aAnswerBy);
     JobReply reply;
     boost::asio::co_spawn(context,
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -2,6 +2,7 @@
 
 #include "contracts/progress_limits.h"
 #include "zones/domain_state.h"
+#include "zones/fairness/waiting_order.h"
 #include "zones/locality/few_data_centres.h"
 #include "zones/place_search.h"
 #include "zones/preemption_reservations.h"
@@ -117,6 +118,7 @@
     }
   }
   for (const JobKey& key : retired) {
+    NoteServed(*this->domain, *this->domain->FindJob(key), this->now);
     this->domain->Retire(key);
   }
   std::vector<StopOrder> orphans = this->domain->TakeOrphans();
@@ -165,6 +167,14 @@
       this->CollectWaiting(job, groups);
     }
   }
+  if (this->policy.IsRoomShared() && groups.size() > 1) {
+    const WaitingOrder order(*this->domain, this->now);
+    for (WaitingGroup& group : groups) {
+      const TrackedJob& job = *this->domain->FindJob(group.job);
+      group.isBeyondGuarantee = order.IsBeyondGuarantee(job);
+      group.position = order.PositionOf(job);
+    }
+  }
   std::sort(groups.begin(), groups.end());
   return groups;
 }
@@ -199,6 +209,7 @@
       if (!units.empty()) {
         fullSteps += ++groupsOfStep[step] >= kMaxGroupsOfStep ? 1 : 0;
         aGroups.push_back(WaitingGroup{ aJob.Job().Priority(),
+                                        false,
                                         aJob.Job().Admitted(),
                                         aJob.Job().Key(),
                                         units.front(),
--- a/zones/domain_reclaim.cpp
+++ b/zones/domain_reclaim.cpp
@@ -1,6 +1,7 @@
 #include "zones/domain_reclaim.h"
 
 #include "zones/domain_state.h"
+#include "zones/fairness/guarantee_use.h"
 #include "zones/placement_view.h"
 #include "zones/preemptible_run.h"
 #include "zones/preemption_reservations.h"
@@ -64,27 +65,6 @@
 {
 }
 
-bool
-DomainReclaim::IsGuaranteed(const TrackedJob& aJob) const
-{
-  std::int64_t needed = 0;
-  for (const JobKey& key : this->domain->Active()) {
-    const TrackedJob& job = *this->domain->FindJob(key);
-    const bool counts = !job.Final() && job.Job().Priority() == 0 &&
-                        job.Job().Team() == aJob.Job().Team();
-    if (!counts) {
-      continue;
-    }
-    std::int64_t maxAccelerators = 0;
-    for (const JobStep& step : job.Job().Plan().Steps()) {
-      maxAccelerators =
-        std::max(maxAccelerators, step.Need().Accelerators() * step.Count());
-    }
-    needed += maxAccelerators;
-  }
-  return needed <= this->domain->GuaranteeOf(aJob.Job().Team());
-}
-
 Milliseconds
 DomainReclaim::Waited(const TrackedJob& aJob, const TaskUnit& aUnit) const
 {
@@ -125,7 +105,7 @@
   // A gang may have begun in part only, so what began counts after that time.
   const bool hasBegun = aUnit.EverStarted() && waited >= timing.ReclaimTime();
   return isDue && !hasBegun && aJob.StepOf(aUnit).After().empty() &&
-         this->IsGuaranteed(aJob);
+         GuaranteeUse(*this->domain).IsWithinGuarantee(aJob.Job().Team());
 }
 
 /** Only jobs of priority 0 have runs stopped: while little work is lost by it
--- a/zones/domain_reclaim.h
+++ b/zones/domain_reclaim.h
@@ -45,7 +45,6 @@
   }
 
 private:
-  bool IsGuaranteed(const TrackedJob& aJob) const;
   /** Whether the unit has to begin now for the reclaim time of its job. */
   bool IsReclaimDue(const TrackedJob& aJob, const TaskUnit& aUnit) const;
   /** Additional run time away from the rack that the step prefers, in multiples
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -6,6 +6,7 @@
 #include "contracts/task_address.h"
 #include "core/instant.h"
 #include "core/names.h"
+#include "zones/fairness/service_history.h"
 #include "zones/queue_run_times.h"
 #include "zones/start_order.h"
 #include "zones/stop_order.h"
@@ -55,6 +56,9 @@
   /** Jobs that are not final, or whose runs may not have ended yet. */
   const std::set<JobKey>& Active() const { return this->active; }
   void Retire(const JobKey& aJob) { this->active.erase(aJob); }
+  /** How the jobs that have ended in this term were served. */
+  const ServiceHistory& Served() const { return this->served; }
+  ServiceHistory& Served() { return this->served; }
 
   /** Number of accelerators that each team is guaranteed for jobs of priority
    * 0. */
@@ -200,6 +204,7 @@
   std::map<QueueAddress, QueueName> queueNames;
   std::vector<StopOrder> orphans;
   QueueRunTimes runTimes;
+  ServiceHistory served;
   Instant lastSweep{};
 };
 
--- a/zones/waiting_group.h
+++ b/zones/waiting_group.h
@@ -9,12 +9,15 @@
 namespace sardinecourse {
 
 /** Units of one step in one occurrence that wait for placement: a gang, or
- * independent tasks. Groups are served in ascending order: by priority, then by
- * admission time. */
+ * independent tasks. Groups are served in ascending order. */
 struct WaitingGroup
 {
   std::int32_t priority = 0;
-  WallTime admitted{};
+  /** Whether the job is urgent and its team uses more than it is guaranteed;
+   * false where room is not shared. */
+  bool isBeyondGuarantee = false;
+  /** When the job was admitted, or a later time if it lets others go first. */
+  WallTime position{};
   JobKey job;
   /** Number of the first unit that waits. */
   std::int32_t firstUnit = 0;
--- a/zones/work_size.cpp
+++ b/zones/work_size.cpp
@@ -1,6 +1,6 @@
 #include "zones/work_size.h"
 
-#include "contracts/job_step.h"
+#include "contracts/job_plan.h"
 #include "machines/resources.h"
 
 namespace sardinecourse {
@@ -26,6 +26,16 @@
   return CoreEquivalents(aStep.Need()) * static_cast<double>(aTasks);
 }
 
+double
+WorkOf(const JobPlan& aPlan)
+{
+  double work = 0.0;
+  for (const JobStep& step : aPlan.Steps()) {
+    work += CoreEquivalentsOf(step, step.Count()) * Seconds(step.Estimate());
+  }
+  return work * static_cast<double>(aPlan.Occurrences());
+}
+
 double
 Seconds(Clock::duration aTime)
 {
--- a/zones/work_size.h
+++ b/zones/work_size.h
@@ -4,6 +4,7 @@
 
 namespace sardinecourse {
 
+class JobPlan;
 class JobStep;
 class Resources;
 
@@ -15,6 +16,10 @@
 double
 CoreEquivalentsOf(const JobStep& aStep, std::int32_t aTasks);
 
+/** Estimated work of a plan in all occurrences, in core-seconds. */
+double
+WorkOf(const JobPlan& aPlan);
+
 double
 Seconds(Clock::duration aTime);
 
