--- a/daemon/caller_thread.cpp
+++ b/daemon/caller_thread.cpp
@@ -27,6 +27,7 @@
            aHost.Limits().ShareOf(aHost.Threads()))
 {
   this->jobApi.ChargeTo(aLoad);
+  this->jobApi.SetDataCentre(aHost.DataCentre());
 }
 
 CallerThread::~CallerThread()
--- a/machines/worker_listing.h
+++ b/machines/worker_listing.h
@@ -6,6 +6,7 @@
 #include "machines/resources.h"
 
 #include <compare>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
   const Resources& Capacity() const { return this->capacity; }
   /** True when it takes no new work because it will be shut down. */
   bool IsLeaving() const { return this->isLeaving; }
+  /** How long a worker that is leaving stays at least, from when it was listed;
+   * empty when that is not known. */
+  const std::optional<Milliseconds>& TimeLeft() const { return this->timeLeft; }
 
   /** How much longer the worker is slow after its start, when it was listed. */
   Milliseconds ColdLeft() const { return this->coldLeft; }
@@ -45,6 +49,7 @@
   Resources capacity;
   bool isLeaving = false;
   Milliseconds coldLeft{ 0 };
+  std::optional<Milliseconds> timeLeft;
 };
 
 }
--- a/machines/worker_listing_builder.cpp
+++ b/machines/worker_listing_builder.cpp
@@ -69,6 +69,13 @@
   return *this;
 }
 
+WorkerListingBuilder&
+WorkerListingBuilder::TimeLeft(std::optional<Milliseconds> aTime)
+{
+  this->value.timeLeft = aTime;
+  return *this;
+}
+
 std::optional<WorkerListing>
 WorkerListingBuilder::Build(Reason& aReason) const
 {
--- a/machines/worker_listing_builder.h
+++ b/machines/worker_listing_builder.h
@@ -22,6 +22,7 @@
   WorkerListingBuilder& Capacity(Resources aCapacity);
   WorkerListingBuilder& IsLeaving(bool aIsLeaving);
   WorkerListingBuilder& ColdLeft(Milliseconds aColdLeft);
+  WorkerListingBuilder& TimeLeft(std::optional<Milliseconds> aTime);
   std::optional<WorkerListing> Build(Reason& aReason) const;
 
 private:
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -68,6 +68,11 @@
   /** Charges aLoad with what waits for the store, and refuses jobs that have no
    * room there. */
   void ChargeTo(CallerLoad& aLoad) { this->load = &aLoad; }
+  /** Sets the data centre that is recorded for the jobs admitted here. */
+  void SetDataCentre(DataCentreName aDataCentre)
+  {
+    this->dataCentre = std::move(aDataCentre);
+  }
 
   /** Retries of calls end by aTime, whatever the calls' deadlines. */
   void AnswerBy(Instant aTime) { this->answerBy = aTime; }
@@ -418,6 +423,7 @@
                        .Address(aCallContext.queue.Address())
                        .Service(aCallContext.queue.Service())
                        .Team(aCallContext.team)
+                       .DataCentre(this->dataCentre)
                        .Priority(aCallContext.queue.Priority())
                        .MaxAttempts(aCallContext.queue.MaxAttempts())
                        .Stretch(aCallContext.queue.Stretch())
@@ -689,6 +695,7 @@
   DomainMetrics* metrics;
   StoreHealth storeHealth;
   KnownUsage usage;
+  DataCentreName dataCentre;
   Milliseconds maxConfirmationAge;
   Instant answerBy = Instant::max();
   CallerLoad* load = nullptr;
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -2,11 +2,14 @@
 
 #include "contracts/progress_limits.h"
 #include "zones/domain_state.h"
+#include "zones/fairness/waiting_order.h"
+#include "zones/locality/few_data_centres.h"
 #include "zones/pace/pace_preference_choice.h"
 #include "zones/place_search.h"
 #include "zones/preemption_reservations.h"
 #include "zones/run_monitor.h"
 #include "zones/step_placement_request.h"
+#include "zones/stops/departure.h"
 #include "zones/work_size.h"
 
 #include <algorithm>
@@ -70,6 +73,7 @@
             aReservations,
             this->view,
             aNow,
+            aWallTime,
             aPolicy.MaxPreemptionWaste())
 {
   if (this->policy.IsPaceUsed()) {
@@ -92,6 +96,7 @@
   }
   if (this->domain->IsSweepDue(this->now)) {
     this->decisions.givenUp = RunMonitor(*this->domain, this->now).Run();
+    GiveUpRunsOnLeavingWorkers(*this->domain, this->now);
   }
   this->StopUnneeded();
   for (const WaitingGroup& group : this->WaitingGroups()) {
@@ -126,6 +131,7 @@
     }
   }
   for (const JobKey& key : retired) {
+    NoteServed(*this->domain, *this->domain->FindJob(key), this->now);
     this->domain->Retire(key);
   }
   std::vector<StopOrder> orphans = this->domain->TakeOrphans();
@@ -174,6 +180,14 @@
       this->CollectWaiting(job, groups);
     }
   }
+  if (this->policy.IsRoomShared() && groups.size() > 1) {
+    const WaitingOrder order(*this->domain, this->now);
+    for (WaitingGroup& group : groups) {
+      const TrackedJob& job = *this->domain->FindJob(group.job);
+      group.isBeyondGuarantee = order.IsBeyondGuarantee(job);
+      group.position = order.PositionOf(job);
+    }
+  }
   std::sort(groups.begin(), groups.end());
   return groups;
 }
@@ -208,6 +222,7 @@
       if (!units.empty()) {
         fullSteps += ++groupsOfStep[step] >= kMaxGroupsOfStep ? 1 : 0;
         aGroups.push_back(WaitingGroup{ aJob.Job().Priority(),
+                                        false,
                                         aJob.Job().Admitted(),
                                         aJob.Job().Key(),
                                         units.front(),
@@ -420,15 +435,25 @@
   const PlacementRequest anywhere =
     MakePlacementRequest(step, aUnit.Count(), false, pace);
   auto places = this->view.Find(aJob, aUnit, aRef, local);
-  if (places || local == anywhere) {
-    return places;
+  if (local != anywhere) {
+    if (places) {
+      return places;
+    }
+    const bool mayWait =
+      !aIsOverdue && this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
+    if (mayWait &&
+        CouldFit(this->view.CandidatesFor(aJob, aUnit, aRef), local)) {
+      return std::nullopt;
+    }
+    places = this->view.Find(aJob, aUnit, aRef, anywhere);
   }
-  const bool mayWait =
-    !aIsOverdue && this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
-  if (mayWait && CouldFit(this->view.CandidatesFor(aJob, aUnit, aRef), local)) {
+  if (!places) {
     return std::nullopt;
   }
-  return this->view.Find(aJob, aUnit, aRef, anywhere);
+  return FindPlacesInFewDataCentres(*this->domain,
+                                    this->view.CandidatesFor(aJob, aUnit, aRef),
+                                    anywhere,
+                                    *places);
 }
 
 Milliseconds
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -8,6 +8,7 @@
 #include "core/names.h"
 #include "zones/evacuation/evacuation_view.h"
 #include "zones/evacuation/start_admission.h"
+#include "zones/fairness/service_history.h"
 #include "zones/lease_bound_record.h"
 #include "zones/pace/worker_paces.h"
 #include "zones/queue_run_times.h"
@@ -60,6 +61,9 @@
   /** Jobs that are not final, or whose runs may not have ended yet. */
   const std::set<JobKey>& Active() const { return this->active; }
   void Retire(const JobKey& aJob) { this->active.erase(aJob); }
+  /** How the jobs that have ended in this term were served. */
+  const ServiceHistory& Served() const { return this->served; }
+  ServiceHistory& Served() { return this->served; }
 
   /** Number of accelerators that each team is guaranteed for jobs of priority
    * 0. */
@@ -254,6 +258,7 @@
   EvacuationView evacuations;
   QueueRunTimes runTimes;
   std::optional<WorkerPaces> paces;
+  ServiceHistory served;
   Instant lastSweep{};
 };
 
