Start lasting tasks that lost their worker together

Cause: beside the headroom a lasting task starts after 2 s in ample room.

Change: each task has its own time, and what is paced is read from the end of its latest run: one that ended by its own fault, or never ran, waits 2 s; one that lost its run with its worker does not. All start in one pass, as many as leave room for one more.

Of the new tests, EndlessTasksOfRestartedWorkerReturnTogether and NewEndlessTasksStartTogetherInHeadroom fail on the code before (2 and 1 tasks run of 4); EndlessTaskThatFailsIsRestartedWithPauses passes on both. All tests of zones and scheduling pass.

--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -93,6 +93,9 @@
   CPPUNIT_TEST(TaskAwayFromItsDataStartsInAmpleRoomAfterLastArrival);
   CPPUNIT_TEST(BatchTaskStartsInHeadroomAfterLastArrival);
   CPPUNIT_TEST(EndlessTaskStartsInHeadroomWhileJobsArrive);
+  CPPUNIT_TEST(EndlessTasksOfRestartedWorkerReturnTogether);
+  CPPUNIT_TEST(NewEndlessTasksStartTogetherInHeadroom);
+  CPPUNIT_TEST(EndlessTaskThatFailsIsRestartedWithPauses);
   CPPUNIT_TEST(GangLargerThanRackSpansRacks);
   CPPUNIT_TEST(GuaranteedJobPreemptsBurstOfBatchWork);
   CPPUNIT_TEST(BatchWorkLeavesHeadroomForUrgentJobs);
@@ -243,6 +246,52 @@
     CPPUNIT_ASSERT(StartsWithin(world, "endless", kMaxIdleMs));
   }
 
+  // Load: endless tasks in the headroom, all on one worker. When it restarted,
+  // they were started one by one, each after a wait of its own.
+  void EndlessTasksOfRestartedWorkerReturnTogether()
+  {
+    constexpr std::int32_t kTasks = 4;
+    DomainWorld world(6, 6);
+    SubmitEndlessInHeadroom(world, kTasks);
+    PollAndPass(world, 2 * kMaxIdleMs);
+    CPPUNIT_ASSERT_EQUAL(kTasks, RunsOf(world, "endless"));
+    std::string worker = "w0";
+    for (const std::string& name : world.Workers()) {
+      const auto& runs = world.site.workers.at(name).Runs();
+      worker = !runs.empty() && runs.begin()->first.starts_with("endless")
+                 ? name
+                 : worker;
+    }
+    world.RestartWorker(worker);
+    PollAndPass(world, kMaxIdleMs);
+    CPPUNIT_ASSERT_EQUAL(kTasks, RunsOf(world, "endless"));
+    CPPUNIT_ASSERT(world.site.Violations().empty());
+  }
+
+  void NewEndlessTasksStartTogetherInHeadroom()
+  {
+    constexpr std::int32_t kTasks = 4;
+    DomainWorld world(6, 6);
+    SubmitEndlessInHeadroom(world, kTasks);
+    PollAndPass(world, kMaxIdleMs);
+    CPPUNIT_ASSERT_EQUAL(kTasks, RunsOf(world, "endless"));
+  }
+
+  // A task that fails by its own fault at once must not take the headroom again
+  // and again.
+  void EndlessTaskThatFailsIsRestartedWithPauses()
+  {
+    DomainWorld world(6, 6);
+    SubmitEndlessInHeadroom(world, 1, 300);
+    world.FailFirst("endless", 100, false);
+    const std::int64_t starts = world.site.Starts();
+    constexpr std::int64_t kObservedMs = 12'000;
+    constexpr std::int64_t kMaxStarts = kObservedMs / 2000;
+    PollAndPass(world, kObservedMs);
+    CPPUNIT_ASSERT(world.site.Starts() > starts + 1);
+    CPPUNIT_ASSERT_LESSEQUAL(starts + kMaxStarts, world.site.Starts());
+  }
+
   void GangLargerThanRackSpansRacks()
   {
     DomainWorld world(4, 2);
@@ -806,6 +855,33 @@
     aWorld.Pass({});
   }
 
+  /** Fills six workers up to the headroom for batch work, and submits endless
+   * batch tasks beside it. */
+  static void SubmitEndlessInHeadroom(DomainWorld& aWorld,
+                                      std::int32_t aTasks,
+                                      std::int64_t aWorkMs = kLongMs)
+  {
+    SubmitUrgentWork(aWorld, 16);
+    aWorld.Submit(
+      MakeAdmitted(
+        "endless",
+        2,
+        { Valid(QuarterStep(aTasks).IsEndless(true).Estimate(kLongEstimate)) }),
+      aWorkMs,
+      false);
+  }
+
+  static std::int32_t RunsOf(const DomainWorld& aWorld, const std::string& aJob)
+  {
+    std::int32_t runs = 0;
+    for (const auto& [name, worker] : aWorld.site.workers) {
+      for (const auto& [task, run] : worker.Runs()) {
+        runs += task.starts_with(aJob) ? 1 : 0;
+      }
+    }
+    return runs;
+  }
+
   static void SubmitWithoutAccelerators(DomainWorld& aWorld,
                                         std::int64_t aNumber)
   {
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -52,6 +52,18 @@
   return aUnit.Done() ? StopCause::kUnitDone : aUnit.AbandonedFor();
 }
 
+/** Number of tasks of the step that fit into what is free. */
+std::int64_t
+CountFitting(const std::vector<CandidateWorker>& aWorkers, const JobStep& aStep)
+{
+  std::int64_t fitting = 0;
+  for (const CandidateWorker& worker : aWorkers) {
+    fitting +=
+      std::min(worker.Free().CountFitting(aStep.Need()), worker.MaxTasks());
+  }
+  return fitting;
+}
+
 }
 
 DomainPass::DomainPass(DomainState& aDomain,
@@ -272,13 +284,13 @@
                        const WaitingGroup& aGroup)
 {
   const JobStep& step = aJob.StepOf(aFirst);
-  const bool isOverdue = this->IsOverdueInAmpleRoom(aJob, aFirst, aFirstRef);
   std::int64_t newTasksLeft = aGroup.maxNewTasks;
-  const std::vector<std::int32_t> units =
+  std::vector<std::int32_t> units =
     WaitingUnits(aJob, aGroup.occurrence, aGroup.step, newTasksLeft);
-  // An overdue job gets one task started; the others go on waiting.
+  const std::int32_t overdue =
+    this->CountOverdueTasks(aJob, aFirst, aFirstRef, units);
   const std::int32_t limit =
-    std::max(this->MaxTasksWithinHeadroom(aJob, step), isOverdue ? 1 : 0);
+    std::max(this->MaxTasksWithinHeadroom(aJob, step), overdue);
   const std::int32_t count =
     std::min(static_cast<std::int32_t>(units.size()), limit);
   if (count < 1) {
@@ -291,8 +303,9 @@
   if (places.empty() && !step.DataRack().Empty() &&
       this->Waited(aJob) >= this->MaxLocalityWait(aJob, step)) {
     places = FindSomePlaces(workers, MakePlacementRequest(step, count, false));
-  } else if (places.empty() && isOverdue) {
-    places = FindSomePlaces(workers, MakePlacementRequest(step, 1, false));
+  } else if (places.empty() && overdue > 0) {
+    places =
+      FindSomePlaces(workers, MakePlacementRequest(step, overdue, false));
   }
   for (std::size_t position = 0; position < places.size(); ++position) {
     TaskUnit& unit = aJob.Open(units[position]);
@@ -315,12 +328,64 @@
   const bool isEndless = aJob.StepOf(aUnit).IsEndless();
   const bool isQuiet = this->now >= this->domain->LastArrival() + kQuietTime;
   const bool isJudged = isEndless || (isQuiet && aJob.Idle());
-  aUnit.NoteAmpleRoom(isJudged && this->view.HasAmpleRoom(aJob, aUnit, aRef),
-                      this->now);
-  const Milliseconds wait = isEndless ? kMaxAmpleRoomWait : Milliseconds(0);
+  return this->IsOverdue(aJob.StepOf(aUnit),
+                         aUnit,
+                         isJudged &&
+                           this->view.HasAmpleRoom(aJob, aUnit, aRef));
+}
+
+bool
+DomainPass::IsOverdue(const JobStep& aStep,
+                      TaskUnit& aUnit,
+                      bool aHasRoom) const
+{
+  aUnit.NoteAmpleRoom(aHasRoom, this->now);
+  // A task that lost its run with its worker is not at fault and has no reason
+  // to wait.
+  const bool isPaced =
+    aStep.IsEndless() && (aUnit.Run() == 0 || aUnit.HasFailed());
+  const Milliseconds wait = isPaced ? kMaxAmpleRoomWait : Milliseconds(0);
   return aUnit.AmpleRoomSince() && this->now >= *aUnit.AmpleRoomSince() + wait;
 }
 
+std::int32_t
+DomainPass::CountOverdueTasks(TrackedJob& aJob,
+                              TaskUnit& aFirst,
+                              const UnitRef& aFirstRef,
+                              std::vector<std::int32_t>& aUnits)
+{
+  const JobStep& step = aJob.StepOf(aFirst);
+  if (!step.IsEndless()) {
+    // An overdue job gets one task started; the others go on waiting.
+    return this->IsOverdueInAmpleRoom(aJob, aFirst, aFirstRef) ? 1 : 0;
+  }
+  // Each of them has to fit twice when its turn comes, so the last one leaves
+  // room for one more.
+  const std::int64_t room =
+    CountFitting(this->view.CandidatesFor(aJob, aFirst, aFirstRef), step) - 1;
+  std::vector<std::int32_t> overdue;
+  std::vector<std::int32_t> others;
+  std::optional<bool> areNewOverdue;
+  for (const std::int32_t number : aUnits) {
+    const auto open = aJob.OpenUnits().find(number);
+    const bool isNew =
+      open == aJob.OpenUnits().end() || open->second.Run() == 0;
+    // Tasks without a run have waited equally long, so the first one's time is
+    // kept for all of them.
+    const bool isOverdue =
+      isNew && areNewOverdue
+        ? *areNewOverdue
+        : this->IsOverdue(step, aJob.Open(number), room > 0);
+    areNewOverdue = isNew ? isOverdue : areNewOverdue;
+    (isOverdue ? overdue : others).push_back(number);
+  }
+  const auto count = static_cast<std::int64_t>(overdue.size());
+  aUnits = std::move(overdue);
+  aUnits.insert(aUnits.end(), others.begin(), others.end());
+  return static_cast<std::int32_t>(
+    std::min(count, std::max<std::int64_t>(room, 0)));
+}
+
 /** Whether batch work may still wait behind other work: it has waited less than
  * BatchWaitShare() of the slack that its objective leaves it. */
 bool
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -61,6 +61,15 @@
   bool IsOverdueInAmpleRoom(const TrackedJob& aJob,
                             TaskUnit& aUnit,
                             const UnitRef& aRef);
+  /** Notes whether there is ample room for the unit, and returns whether it has
+   * waited in ample room for as long as it may. */
+  bool IsOverdue(const JobStep& aStep, TaskUnit& aUnit, bool aHasRoom) const;
+  /** Number of the waiting units of independent tasks that have to start in
+   * ample room now; moves these to the front of aUnits. */
+  std::int32_t CountOverdueTasks(TrackedJob& aJob,
+                                 TaskUnit& aFirst,
+                                 const UnitRef& aFirstRef,
+                                 std::vector<std::int32_t>& aUnits);
   bool IsDeferrable(const TrackedJob& aJob, const JobStep& aStep) const;
   static Milliseconds ShareOfSlack(const TrackedJob& aJob,
                                    Milliseconds aRunTime,
--- a/zones/task_unit.cpp
+++ b/zones/task_unit.cpp
@@ -103,6 +103,7 @@
   this->run = aRun;
   this->members = std::move(aMembers);
   this->abandonedFor = StopCause::kNone;
+  this->hasFailed = false;
   this->startedAt = aNow;
   this->lastProgress = aNow;
   this->allRunningSince.reset();
@@ -180,6 +181,7 @@
   }
   if (aRun == this->run) {
     this->Abandon(StopCause::kMemberEnded);
+    this->hasFailed = this->hasFailed || aOutcome == RunOutcome::kFailed;
   }
   // Several members of a gang may report the failure of their common run, which
   // counts once.
--- a/zones/task_unit.h
+++ b/zones/task_unit.h
@@ -46,6 +46,8 @@
   bool HasOpenWork() const;
   /** Whether any run of the unit was confirmed by a worker. */
   bool EverStarted() const { return this->everStarted; }
+  /** Whether the latest run ended as failed. */
+  bool HasFailed() const { return this->hasFailed; }
   /** Whether the run was given up; its members are being stopped. */
   bool Abandoned() const { return this->abandonedFor != StopCause::kNone; }
   /** Why the run was given up; kNone while it was not. */
@@ -140,6 +142,7 @@
   std::set<std::int64_t> failedRuns;
   bool done = false;
   bool everStarted = false;
+  bool hasFailed = false;
   StopCause abandonedFor = StopCause::kNone;
   Instant startedAt{};
   Instant lastProgress{};
