Test a host whose descriptors are used up

Cause: the tests of idle connections set a limit on connections below the descriptors, so none reached the failed accept that made the loop spin. Change: DescriptorsUsedUp, with 160 callers, 112 descriptors and a limit of 400 connections: the process must come to rest, and answer an ordinary request.

--- a/tests/history/caller_limits_test.cpp
+++ b/tests/history/caller_limits_test.cpp
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(JobsOfLargeRowsThatWaitForTheStore);
   CPPUNIT_TEST(RequestsBehindOneThatWaits);
   CPPUNIT_TEST(IdleConnections);
+  CPPUNIT_TEST(DescriptorsUsedUp);
   CPPUNIT_TEST(HalfRequests);
   CPPUNIT_TEST(ConnectionsToReadiness);
   CPPUNIT_TEST(BodiesToServiceThatNeverComplete);
@@ -254,6 +255,18 @@
     this->Check(site);
   }
 
+  /** The limit on connections exceeds the descriptors that the process has. */
+  void DescriptorsUsedUp()
+  {
+    SiteDeployment site(1, 1, "limits: {connections: 400}\n");
+    CPPUNIT_ASSERT(site.WaitUntilReady(0));
+    CPPUNIT_ASSERT(LimitDescriptors(site.Daemon(0).Pid(), kDescriptorLimit));
+    const CallerCrowd crowd(site.Callers(0), kConnections);
+    // A loop that fails to accept must not spin.
+    CPPUNIT_ASSERT(WaitUntilQuiet(site.Daemon(0).Pid(), kQuietTimeout));
+    this->Check(site, kDescriptorLimit);
+  }
+
   void HalfRequests()
   {
     SiteDeployment site(1, 1, kLimits);
