Restart a lasting task however it ends

Change: a unit of an endless step is never done; an end as done gives up the run and is paced like a failure. Marks of done that an earlier version stored for such units are read as started. The stand-in doesn't take such ends for final ones.

--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -1,4 +1,5 @@
 #include "contracts/domain_timing_builder.h"
+#include "contracts/job_progress_builder.h"
 #include "contracts/progress_limits.h"
 #include "tests/scheduling/domain_world.h"
 
@@ -96,6 +97,8 @@
   CPPUNIT_TEST(EndlessTasksOfRestartedWorkerReturnTogether);
   CPPUNIT_TEST(NewEndlessTasksStartTogetherInHeadroom);
   CPPUNIT_TEST(EndlessTaskThatFailsIsRestartedWithPauses);
+  CPPUNIT_TEST(EndlessTaskIsStartedAgainHoweverItEnds);
+  CPPUNIT_TEST(EndlessJobThatAnEarlierVersionTookForDoneIsRestarted);
   CPPUNIT_TEST(GangLargerThanRackSpansRacks);
   CPPUNIT_TEST(GuaranteedJobPreemptsBurstOfBatchWork);
   CPPUNIT_TEST(BatchWorkLeavesHeadroomForUrgentJobs);
@@ -292,6 +295,35 @@
     CPPUNIT_ASSERT_LESSEQUAL(starts + kMaxStarts, world.site.Starts());
   }
 
+  // An end as done was taken for the end of the task: it was not started again,
+  // and the job that nobody had cancelled was shown as completed.
+  void EndlessTaskIsStartedAgainHoweverItEnds()
+  {
+    for (const bool fails : { false, true }) {
+      DomainWorld world(2, 2);
+      world.Submit(
+        MakeAdmitted("endless", 1, { Valid(QuarterStep(2).IsEndless(true)) }),
+        1000,
+        fails);
+      PollAndPass(world, 12'000);
+      CPPUNIT_ASSERT(JobState::kRunning == world.StateOf("endless"));
+      CPPUNIT_ASSERT(world.site.Starts() > 8);
+      CPPUNIT_ASSERT(world.site.Violations().empty());
+    }
+  }
+
+  void EndlessJobThatAnEarlierVersionTookForDoneIsRestarted()
+  {
+    TrackedJob job(
+      MakeAdmitted("endless", 1, { Valid(QuarterStep(2).IsEndless(true)) }),
+      Instant());
+    job.Restore(Valid(JobProgressBuilder()
+                        .Queue(QueueName("queue-1"))
+                        .State(JobState::kRunning)
+                        .Marks("D")));
+    CPPUNIT_ASSERT(!job.IsDone(0));
+  }
+
   void GangLargerThanRackSpansRacks()
   {
     DomainWorld world(4, 2);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -116,6 +116,7 @@
     SiteStep step;
     step.count = steps[index].Count();
     step.isGang = steps[index].IsGang();
+    step.isEndless = steps[index].IsEndless();
     step.milliCores = steps[index].Need().MilliCores();
     step.memoryMb = steps[index].Need().MemoryMb();
     step.accelerators = steps[index].Need().Accelerators();
--- a/tests/stand_ins/site_simulation.h
+++ b/tests/stand_ins/site_simulation.h
@@ -16,6 +16,8 @@
 {
   std::int32_t count = 1;
   bool isGang = false;
+  /** The tasks have to run until their job is cancelled, however they end. */
+  bool isEndless = false;
   std::int64_t milliCores = 0;
   std::int64_t memoryMb = 0;
   std::int64_t accelerators = 0;
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -343,7 +343,7 @@
   // A task that lost its run with its worker is not at fault and has no reason
   // to wait.
   const bool isPaced =
-    aStep.IsEndless() && (aUnit.Run() == 0 || aUnit.HasFailed());
+    aStep.IsEndless() && (aUnit.Run() == 0 || aUnit.HasEndedByItself());
   const Milliseconds wait = isPaced ? kMaxAmpleRoomWait : Milliseconds(0);
   return aUnit.AmpleRoomSince() && this->now >= *aUnit.AmpleRoomSince() + wait;
 }
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -427,7 +427,8 @@
                          const TaskUnit& aUnit,
                          Instant aNow)
 {
-  if (aUnit.Done() || aUnit.IsResumed() || !aUnit.AllRunningSince()) {
+  if (aUnit.Done() || aUnit.IsResumed() || !aUnit.AllRunningSince() ||
+      aJob.StepOf(aUnit).IsEndless()) {
     return;
   }
   const double factor = aUnit.IsRemote() ? this->timing.RemoteSlowdown() : 1.0;
--- a/zones/task_unit.cpp
+++ b/zones/task_unit.cpp
@@ -20,12 +20,12 @@
                    std::int32_t aStep,
                    std::int32_t aFirst,
                    std::int32_t aCount,
-                   bool aCountsFailures)
+                   bool aIsEndless)
   : occurrence(aOccurrence)
   , step(aStep)
   , first(aFirst)
   , count(aCount)
-  , countsFailures(aCountsFailures)
+  , isEndless(aIsEndless)
 {
 }
 
@@ -61,9 +61,9 @@
 void
 TaskUnit::Restore(char aMark, std::set<std::int64_t> aFailedRuns)
 {
-  this->done = aMark == JobProgress::kDone;
+  this->done = aMark == JobProgress::kDone && !this->isEndless;
   this->everStarted = aMark != JobProgress::kNeverStarted;
-  if (this->countsFailures) {
+  if (!this->isEndless) {
     this->failedRuns = std::move(aFailedRuns);
   }
 }
@@ -103,7 +103,7 @@
   this->run = aRun;
   this->members = std::move(aMembers);
   this->abandonedFor = StopCause::kNone;
-  this->hasFailed = false;
+  this->hasEndedByItself = false;
   this->startedAt = aNow;
   this->lastProgress = aNow;
   this->allRunningSince.reset();
@@ -175,17 +175,19 @@
   if (this->done) {
     return false;
   }
-  if (aOutcome == RunOutcome::kDone) {
+  if (aOutcome == RunOutcome::kDone && !this->isEndless) {
     this->done = true;
     return true;
   }
   if (aRun == this->run) {
     this->Abandon(StopCause::kMemberEnded);
-    this->hasFailed = this->hasFailed || aOutcome == RunOutcome::kFailed;
+    this->hasEndedByItself = this->hasEndedByItself ||
+                             aOutcome == RunOutcome::kFailed ||
+                             aOutcome == RunOutcome::kDone;
   }
   // Several members of a gang may report the failure of their common run, which
   // counts once.
-  return aOutcome == RunOutcome::kFailed && this->countsFailures &&
+  return aOutcome == RunOutcome::kFailed && !this->isEndless &&
          this->failedRuns.insert(aRun).second;
 }
 
--- a/zones/task_unit.h
+++ b/zones/task_unit.h
@@ -23,7 +23,7 @@
            std::int32_t aStep,
            std::int32_t aFirst,
            std::int32_t aCount,
-           bool aCountsFailures);
+           bool aIsEndless);
 
   std::int32_t Occurrence() const { return this->occurrence; }
   std::int32_t Step() const { return this->step; }
@@ -35,8 +35,8 @@
   std::int64_t Run() const { return this->run; }
   const std::vector<MemberRun>& Members() const { return this->members; }
   const std::string& Checkpoint() const { return this->checkpoint; }
-  /** Numbers of the runs that failed; each counts as one attempt. Empty for a
-   * unit without a limit of attempts. */
+  /** Numbers of the runs that failed; each counts as one attempt. Empty for an
+   * endless unit, which has no limit of attempts. */
   const std::set<std::int64_t>& FailedRuns() const { return this->failedRuns; }
   bool Done() const { return this->done; }
   /** Whether the unit was placed and is not done; its stored progress then
@@ -46,8 +46,8 @@
   bool HasOpenWork() const;
   /** Whether any run of the unit was confirmed by a worker. */
   bool EverStarted() const { return this->everStarted; }
-  /** Whether the latest run ended as failed. */
-  bool HasFailed() const { return this->hasFailed; }
+  /** Whether the latest run ended by itself, as done or failed. */
+  bool HasEndedByItself() const { return this->hasEndedByItself; }
   /** Whether the run was given up; its members are being stopped. */
   bool Abandoned() const { return this->abandonedFor != StopCause::kNone; }
   /** Why the run was given up; kNone while it was not. */
@@ -135,14 +135,16 @@
   std::int32_t step;
   std::int32_t first;
   std::int32_t count;
-  bool countsFailures;
+  /** Whether the tasks have to run until their job is cancelled, however their
+   * runs end. */
+  bool isEndless;
   std::int64_t run = 0;
   std::vector<MemberRun> members;
   std::string checkpoint;
   std::set<std::int64_t> failedRuns;
   bool done = false;
   bool everStarted = false;
-  bool hasFailed = false;
+  bool hasEndedByItself = false;
   StopCause abandonedFor = StopCause::kNone;
   Instant startedAt{};
   Instant lastProgress{};
--- a/zones/tracked_job.cpp
+++ b/zones/tracked_job.cpp
@@ -94,20 +94,26 @@
   return this->MarkOf(aUnit) == JobProgress::kDone;
 }
 
+std::int32_t
+TrackedJob::StepIndexOf(std::int32_t aUnit) const
+{
+  const auto next = std::upper_bound(this->firstUnits.begin(),
+                                     this->firstUnits.end(),
+                                     aUnit % this->unitsPerOccurrence);
+  return static_cast<std::int32_t>(next - this->firstUnits.begin()) - 1;
+}
+
 TaskUnit
 TrackedJob::MakeUnit(std::int32_t aUnit) const
 {
   const std::int32_t position = aUnit % this->unitsPerOccurrence;
-  const auto next = std::upper_bound(
-    this->firstUnits.begin(), this->firstUnits.end(), position);
-  const auto index =
-    static_cast<std::int32_t>(next - this->firstUnits.begin()) - 1;
+  const std::int32_t index = this->StepIndexOf(aUnit);
   const JobStep& step = this->job.Plan().Steps()[index];
   TaskUnit unit(aUnit / this->unitsPerOccurrence,
                 index,
                 step.IsGang() ? 0 : position - this->firstUnits[index],
                 step.TasksPerUnit(),
-                !step.IsEndless());
+                step.IsEndless());
   unit.Restore(this->MarkOf(aUnit), {});
   return unit;
 }
@@ -222,8 +228,14 @@
   const std::int32_t count = this->UnitCount();
   const auto markCount =
     std::min(static_cast<std::size_t>(count), aProgress.Marks().size());
-  for (std::size_t unit = 0; unit < markCount; ++unit) {
-    this->SetMark(static_cast<std::int32_t>(unit), aProgress.Marks()[unit]);
+  for (std::size_t position = 0; position < markCount; ++position) {
+    const auto unit = static_cast<std::int32_t>(position);
+    const char mark = aProgress.Marks()[position];
+    // Earlier versions took an endless unit for done.
+    const bool isRestarted =
+      mark == JobProgress::kDone &&
+      this->job.Plan().Steps()[this->StepIndexOf(unit)].IsEndless();
+    this->SetMark(unit, isRestarted ? JobProgress::kStarted : mark);
   }
   const auto isUnfinished = [this, count](std::int32_t aUnit) {
     return aUnit >= 0 && aUnit < count && !this->IsDone(aUnit);
--- a/zones/tracked_job.h
+++ b/zones/tracked_job.h
@@ -98,6 +98,8 @@
   void SetStoredRows(std::int32_t aRows) { this->storedRows = aRows; }
 
 private:
+  /** Index of the unit's step. */
+  std::int32_t StepIndexOf(std::int32_t aUnit) const;
   TaskUnit MakeUnit(std::int32_t aUnit) const;
   char MarkOf(std::int32_t aUnit) const;
   void SetMark(std::int32_t aUnit, char aMark);
