Bound the checkpoints that are stored of a job

Cause: a job's progress lists the checkpoint of each open task.

Change: KeepCheckpointsWithin() decides which checkpoints are stored: 200,000 bytes a job, those of tasks without a run first, as no worker reports them. If their encoding still exceeds a transaction, fewer are stored. Nothing is stored that wasn't before.

--- a/contracts/progress_limits.h
+++ b/contracts/progress_limits.h
@@ -16,6 +16,9 @@
 /** Max bytes of the encoded rows of one transaction, of which the store accepts
  * 1 MB in base64. */
 inline constexpr std::size_t kMaxTransactionBytes = 700'000;
+/** Max bytes of a job's checkpoints that are stored. Each change of the job's
+ * progress writes them again. */
+inline constexpr std::size_t kMaxStoredCheckpointBytes = 200'000;
 /** Max rows that one transaction checks, writes and removes. */
 inline constexpr std::size_t kMaxTransactionRows = 100;
 /** Max tasks of a job whose unit was placed and is not done. The progress of a
--- a/scheduling/progress_batch.cpp
+++ b/scheduling/progress_batch.cpp
@@ -14,6 +14,20 @@
 
 namespace sardinecourse {
 
+namespace {
+
+std::size_t
+BytesOf(const std::vector<std::string>& aRows)
+{
+  std::size_t bytes = 0;
+  for (const std::string& row : aRows) {
+    bytes += row.size();
+  }
+  return bytes;
+}
+
+}
+
 ProgressBatch
 ProgressBatch::Collect(const DomainState& aDomain,
                        std::int64_t aTermRevision,
@@ -54,7 +68,15 @@
   Entry entry;
   entry.version = aJob.Version();
   entry.revision = aJob.Revision();
+  // Their encoding may be several times as long as the checkpoints, and must
+  // not keep the progress from being stored.
+  std::size_t checkpointBytes = kMaxStoredCheckpointBytes;
   entry.rows = EncodeProgressRows(aJob.Progress(), kMaxRowBytes);
+  while (BytesOf(entry.rows) > kMaxTransactionBytes && checkpointBytes > 0) {
+    checkpointBytes /= 2;
+    entry.rows =
+      EncodeProgressRows(aJob.Progress(checkpointBytes), kMaxRowBytes);
+  }
   entry.storedRows = aJob.StoredRows();
   return entry;
 }
@@ -66,10 +88,7 @@
   const std::size_t addedRows =
     1 +
     std::max(aEntry.rows.size(), static_cast<std::size_t>(aEntry.storedRows));
-  std::size_t addedBytes = 0;
-  for (const std::string& row : aEntry.rows) {
-    addedBytes += row.size();
-  }
+  const std::size_t addedBytes = BytesOf(aEntry.rows);
   // A job that exceeds the limits by itself is refused by the store and then
   // held back.
   if (!this->Empty() && (this->rowCount + addedRows > kMaxTransactionRows ||
--- a/zones/tracked_job.cpp
+++ b/zones/tracked_job.cpp
@@ -3,6 +3,7 @@
 #include "contracts/job_progress_builder.h"
 #include "contracts/task_address.h"
 #include "core/reason.h"
+#include "zones/stored_checkpoints.h"
 
 #include <algorithm>
 #include <set>
@@ -280,7 +281,7 @@
 }
 
 JobProgress
-TrackedJob::Progress() const
+TrackedJob::Progress(std::size_t aMaxCheckpointBytes) const
 {
   std::vector<FailedRun> failed;
   std::vector<UnitPlacement> placements;
@@ -295,6 +296,7 @@
       placements.push_back(PlacementOf(unit, number));
     }
   }
+  KeepCheckpointsWithin(placements, aMaxCheckpointBytes);
   Reason ignored; // Only the queue is checked, and it is set.
   return JobProgressBuilder()
     .Queue(this->job.Queue())
--- a/zones/tracked_job.h
+++ b/zones/tracked_job.h
@@ -2,9 +2,11 @@
 
 #include "contracts/admitted_job.h"
 #include "contracts/job_progress.h"
+#include "contracts/progress_limits.h"
 #include "core/instant.h"
 #include "zones/task_unit.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -71,7 +73,9 @@
   bool Idle() const;
 
   void Restore(const JobProgress& aProgress);
-  JobProgress Progress() const;
+  /** The progress to store, with at most aMaxCheckpointBytes of checkpoints. */
+  JobProgress Progress(
+    std::size_t aMaxCheckpointBytes = kMaxStoredCheckpointBytes) const;
   /** Records the end of a run of an open unit; returns whether the stored
    * progress changes by it. */
   bool RecordEnd(TaskUnit& aUnit,
