--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -509,7 +509,8 @@
                          const TaskUnit& aUnit,
                          Instant aNow)
 {
-  if (aUnit.Done() || aUnit.IsResumed() || !aUnit.AllRunningSince()) {
+  if (aUnit.Done() || aUnit.IsResumed() || !aUnit.AllRunningSince() ||
+      aJob.StepOf(aUnit).IsEndless()) {
     return;
   }
   const std::chrono::duration<double, std::milli> ran =
