Keep kinds of work apart that slow each other down

Cause: operators see tasks that slow each other down on one machine; placement knew of no such thing. Change: NeighbourEffects records which kinds of work (queue and resources) run beside a run; once the pace of its worker and the error of its estimate are taken out, a regression tells by how much each kind slows it down. New event kinds_disturb.

--- a/scheduling/decision_events.cpp
+++ b/scheduling/decision_events.cpp
@@ -5,6 +5,7 @@
 #include "core/reason.h"
 #include "scheduling/event_line.h"
 #include "zones/given_up_runs.h"
+#include "zones/neighbours/kind_pair.h"
 #include "zones/pace/pace_change.h"
 #include "zones/placed_unit.h"
 #include "zones/preempted_unit.h"
@@ -110,6 +111,19 @@
     .Emit();
 }
 
+void
+LogDisturbance(const KindPair& aPair, std::int64_t aTerm)
+{
+  EventLine("kinds_disturb")
+    .Field("queue", aPair.kind.queue.Text())
+    .Field("accelerators", aPair.kind.need.Accelerators())
+    .Field("beside", aPair.beside.queue.Text())
+    .Field("beside_accelerators", aPair.beside.need.Accelerators())
+    .Field("percent", std::llround(aPair.slowdown * kPercent))
+    .Field("term", aTerm)
+    .Emit();
+}
+
 void
 LogPaceCounts(const std::map<PaceClass, std::int64_t>& aCounts,
               std::size_t aChanged,
--- a/scheduling/decision_events.h
+++ b/scheduling/decision_events.h
@@ -17,6 +17,7 @@
 struct PlacedUnit;
 struct PreemptedUnit;
 struct GivenUpRuns;
+struct KindPair;
 struct PaceChange;
 
 /** Event lines for a holder's decisions on units, for the outcomes of its
@@ -31,6 +32,8 @@
 LogGivenUp(const GivenUpRuns& aGivenUp, std::int64_t aTerm);
 void
 LogPaceChange(const PaceChange& aChange, std::int64_t aTerm);
+void
+LogDisturbance(const KindPair& aPair, std::int64_t aTerm);
 /** aCounts has the number of workers of each class; aChanged of them came into
  * another class. */
 void
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -163,6 +163,10 @@
       LogGivenUp(givenUp, this->Number());
     }
     this->LogPaceChanges(aDecisions.paceChanges);
+    for (const KindPair& pair : aDecisions.disturbances) {
+      this->Metrics().Count(DomainMetrics::Event::kDisturbanceChanged);
+      LogDisturbance(pair, this->Number());
+    }
   }
 
   /** Logs the first few changes of a pass and the number of all, since most
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -35,7 +35,10 @@
     /** A stored job that this version cannot load. */
     kJobNotLoaded,
     /** A worker whose pace came into another class. */
-    kPaceChanged
+    kPaceChanged,
+    /** A pair of kinds of work that was found to disturb each other, or not to
+     * any more. */
+    kDisturbanceChanged
   };
 
   /** Event as which the outcome of a run is counted. */
--- a/tests/scheduling/domain_pass_test.cpp
+++ b/tests/scheduling/domain_pass_test.cpp
@@ -1,3 +1,4 @@
+#include "contracts/domain_policy_builder.h"
 #include "contracts/domain_timing_builder.h"
 #include "contracts/progress_limits.h"
 #include "tests/scheduling/domain_world.h"
@@ -117,9 +118,43 @@
   CPPUNIT_TEST(TaskOfUnreachableWorkerIsRerunElsewhere);
   CPPUNIT_TEST(RunsOfSilentWorkerAreReportedWhenGivenUp);
   CPPUNIT_TEST(TaskOfReplacedWorkerIsRerunElsewhereAtOnce);
+  CPPUNIT_TEST(AlikeWorkersGetTheSameTasksWhetherMeasuredOrNot);
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  // Tasks and gangs of two queues come and go for a while on twelve workers.
+  void AlikeWorkersGetTheSameTasksWhetherMeasuredOrNot()
+  {
+    std::vector<std::map<std::string, std::set<std::string>>> placed[2];
+    for (const bool isMeasured : { false, true }) {
+      DomainWorld world(12, 4);
+      world.policy = Valid(DomainPolicyBuilder()
+                             .IsPaceUsed(isMeasured)
+                             .AreKindsSeparated(isMeasured));
+      for (int round = 0; round < 20; ++round) {
+        const std::string number = std::to_string(round);
+        world.Submit(
+          MakeAdmitted("task" + number, 1, { Valid(QuarterStep(5)) }),
+          2000 + 300 * (round % 4),
+          false);
+        world.Submit(MakeAdmitted("gang" + number,
+                                  0,
+                                  { Valid(QuarterStep(3).IsGang(true)) }),
+                     1500,
+                     false);
+        PollAndPass(world, 1000);
+        auto& runs = placed[isMeasured ? 1 : 0].emplace_back();
+        for (const auto& [name, worker] : world.site.workers) {
+          for (const auto& [task, run] : worker.Runs()) {
+            runs[name].insert(task);
+          }
+        }
+      }
+    }
+    CPPUNIT_ASSERT(!placed[0].back().empty());
+    CPPUNIT_ASSERT(placed[0] == placed[1]);
+  }
+
   void SmallTasksArePackedSoThatGangsFindEmptyWorkers()
   {
     DomainWorld world(5, 5);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -218,7 +218,8 @@
     aFaults.pop_back();
     return fault;
   };
-  DomainPass pass(*this->domain, this->reservations, this->Now(), WallTime());
+  DomainPass pass(
+    *this->domain, this->reservations, this->Now(), WallTime(), this->policy);
   const PassDecisions decisions = pass.Run();
   this->givenUp.insert(
     this->givenUp.end(), decisions.givenUp.begin(), decisions.givenUp.end());
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/domain_policy.h"
 #include "contracts/domain_timing.h"
 #include "tests/scheduling/sample_jobs.h"
 #include "tests/stand_ins/site_simulation.h"
@@ -40,6 +41,7 @@
               DomainTiming aTiming = DomainTiming());
 
   SiteSimulation site;
+  DomainPolicy policy;
   bool isStoreDown = false;
   bool isHolderStalled = false;
   std::set<std::string> cutOff;
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -72,9 +72,7 @@
             aNow,
             aPolicy.MaxPreemptionWaste())
 {
-  if (this->policy.IsPaceUsed()) {
-    aDomain.MeasurePaces();
-  }
+  aDomain.ApplyPolicy(this->policy);
 }
 
 PassDecisions
@@ -85,6 +83,10 @@
     paces->Fit(this->now);
     this->decisions.paceChanges = paces->TakeChanges();
   }
+  if (NeighbourEffects* neighbours = this->domain->Neighbours()) {
+    neighbours->Fit(this->now);
+    this->decisions.disturbances = neighbours->TakeChanges();
+  }
   if (this->domain->IsSweepDue(this->now)) {
     this->decisions.givenUp = RunMonitor(*this->domain, this->now).Run();
   }
@@ -433,7 +435,7 @@
 PacePreference
 DomainPass::PaceFor(const TrackedJob& aJob, const TaskUnit& aUnit) const
 {
-  const WorkerPaces* paces = this->domain->Paces();
+  const WorkerPaces* paces = this->domain->UsedPaces();
   if (paces == nullptr || !paces->IsUneven(aJob.Job().Service())) {
     return PacePreference::kNone;
   }
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -1,5 +1,6 @@
 #include "zones/domain_state.h"
 
+#include "contracts/domain_policy.h"
 #include "contracts/domain_usage_builder.h"
 #include "contracts/task_address_builder.h"
 #include "contracts/worker_report.h"
@@ -179,15 +180,88 @@
 WorkerOutlook
 DomainState::OutlookOf(const TrackedWorker& aWorker) const
 {
+  const WorkerPaces* used = this->UsedPaces();
   Reason ignored; // A measured pace is positive.
   return WorkerOutlookBuilder()
-    .Pace(this->paces ? this->paces->PaceOf(aWorker.Listing().Service(),
-                                            aWorker.Listing().Name())
-                      : 1.0)
+    .Pace(used == nullptr ? 1.0
+                          : used->PaceOf(aWorker.Listing().Service(),
+                                         aWorker.Listing().Name()))
     .Build(ignored)
     .value_or(WorkerOutlook());
 }
 
+std::optional<NeighbourEffects::Kind>
+DomainState::DisturbedKindOf(const TrackedJob& aJob,
+                             const TaskUnit& aUnit) const
+{
+  if (!this->neighbours || !this->neighbours->HasEffects()) {
+    return std::nullopt;
+  }
+  const auto kind = this->neighbours->FindKind(KindOfWorkOf(aJob, aUnit));
+  return kind && this->neighbours->HasEffects(*kind) ? kind : std::nullopt;
+}
+
+WorkerOutlook
+DomainState::OutlookFor(const WorkerName& aWorker,
+                        const WorkerOutlook& aOutlook,
+                        NeighbourEffects::Kind aKind) const
+{
+  Reason ignored; // Slowdowns are not negative.
+  return WorkerOutlookBuilder()
+    .IsOpen(aOutlook.IsOpen())
+    .Pace(aOutlook.Pace())
+    .Disturbance(this->neighbours->DisturbanceOn(aWorker, aKind))
+    .Build(ignored)
+    .value_or(aOutlook);
+}
+
+void
+DomainState::ApplyPolicy(const DomainPolicy& aPolicy)
+{
+  this->isPaceUsed = aPolicy.IsPaceUsed();
+  if (aPolicy.IsPaceUsed() || aPolicy.AreKindsSeparated()) {
+    this->MeasurePaces();
+  }
+  if (aPolicy.AreKindsSeparated() && !this->neighbours) {
+    this->neighbours.emplace();
+  }
+}
+
+KindOfWork
+DomainState::KindOfWorkOf(const TrackedJob& aJob, const TaskUnit& aUnit)
+{
+  return KindOfWork{ aJob.Job().Service(),
+                     aJob.Job().Queue(),
+                     aJob.StepOf(aUnit).Need() };
+}
+
+void
+DomainState::NoteNeighbours(const TrackedWorker& aWorker,
+                            const WorkerReport& aReport)
+{
+  const WorkerName& name = aWorker.Listing().Name();
+  std::vector<NeighbourEffects::ReportedRun> runs;
+  for (const RunningTask& running : aReport.Running()) {
+    const auto [job, unit, member] =
+      this->FindRun(running.Task(), running.Run());
+    if (member == nullptr || member->worker != name) {
+      continue;
+    }
+    const auto kind = this->neighbours->KindOf(KindOfWorkOf(*job, *unit));
+    if (kind) {
+      runs.push_back(NeighbourEffects::ReportedRun{
+        this->MeasuredRunOf(*job, *unit, running.Task().Index()).run, *kind });
+    }
+  }
+  for (const auto& ended : this->neighbours->NoteReport(name, runs)) {
+    const auto deviation =
+      this->paces->DeviationOf(aWorker.Listing().Service(), name, ended.run);
+    if (deviation) {
+      this->neighbours->NoteRate(ended, *deviation);
+    }
+  }
+}
+
 void
 DomainState::MeasurePaces()
 {
@@ -215,7 +289,8 @@
 double
 DomainState::PaceOf(const TaskUnit& aUnit) const
 {
-  if (!this->paces || aUnit.Members().empty()) {
+  const WorkerPaces* used = this->UsedPaces();
+  if (used == nullptr || aUnit.Members().empty()) {
     return 1.0;
   }
   double slowest = std::numeric_limits<double>::max();
@@ -224,7 +299,7 @@
     const double pace =
       found == this->workers.end()
         ? 1.0
-        : this->paces->PaceOf(found->second.Listing().Service(), member.worker);
+        : used->PaceOf(found->second.Listing().Service(), member.worker);
     slowest = std::min(slowest, pace);
   }
   return slowest;
@@ -330,6 +405,9 @@
     this->ApplyRunning(*worker, running, aReceived, orphanUsage);
   }
   worker->SetOrphanUsage(orphanUsage);
+  if (this->neighbours) {
+    this->NoteNeighbours(*worker, aReport);
+  }
   this->ApplyMissing(*worker, aReport, isRestarted, aSent);
   return newEnds;
 }
@@ -623,10 +701,16 @@
                       Instant aNow)
 {
   std::vector<MemberRun> members;
+  const auto kind = this->neighbours
+                      ? this->neighbours->KindOf(KindOfWorkOf(aJob, aUnit))
+                      : std::nullopt;
   std::int32_t index = aUnit.First();
   for (const WorkerName& place : aPlaces) {
     TrackedWorker& worker = this->workers.at(place);
     worker.Add(this->AddressOf(aJob, aUnit, index), aJob.StepOf(aUnit).Need());
+    if (kind) {
+      this->neighbours->NoteStart(place, *kind);
+    }
     MemberRun member;
     member.worker = place;
     member.phase = MemberPhase::kOrdered;
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -6,6 +6,7 @@
 #include "contracts/task_address.h"
 #include "core/instant.h"
 #include "core/names.h"
+#include "zones/neighbours/neighbour_effects.h"
 #include "zones/pace/worker_paces.h"
 #include "zones/queue_run_times.h"
 #include "zones/start_order.h"
@@ -23,6 +24,7 @@
 
 namespace sardinecourse {
 
+class DomainPolicy;
 class RunningTask;
 class WorkerReport;
 struct MeasuredRun;
@@ -76,16 +78,32 @@
   }
   /** What placement takes into account of the worker. */
   WorkerOutlook OutlookOf(const TrackedWorker& aWorker) const;
-  /** From now on the paces of workers are measured; before, they count as 1. */
-  void MeasurePaces();
+  /** Starts to measure what the policy takes into account. */
+  void ApplyPolicy(const DomainPolicy& aPolicy);
   /** The measured paces; null while they are not measured. */
   WorkerPaces* Paces() { return this->paces ? &*this->paces : nullptr; }
-  const WorkerPaces* Paces() const
+  /** The measured paces; null while they are not used. */
+  const WorkerPaces* UsedPaces() const
   {
-    return this->paces ? &*this->paces : nullptr;
+    return this->isPaceUsed ? &*this->paces : nullptr;
   }
   /** Adopts the paces that an earlier holder stored. */
   void LoadPaces(const PaceRecords& aRecords, Instant aNow);
+  /** Which kinds of work disturb each other; null while that is not measured.
+   */
+  NeighbourEffects* Neighbours()
+  {
+    return this->neighbours ? &*this->neighbours : nullptr;
+  }
+  /** The kind of the unit's tasks, if it is known to be disturbed by another or
+   * to disturb it. */
+  std::optional<NeighbourEffects::Kind> DisturbedKindOf(
+    const TrackedJob& aJob,
+    const TaskUnit& aUnit) const;
+  /** What placement takes into account of the worker for tasks of a kind. */
+  WorkerOutlook OutlookFor(const WorkerName& aWorker,
+                           const WorkerOutlook& aOutlook,
+                           NeighbourEffects::Kind aKind) const;
   /** Pace of the unit's run: that of its slowest member. */
   double PaceOf(const TaskUnit& aUnit) const;
   /** Whether a run may still be on the worker, including one that an earlier
@@ -181,6 +199,11 @@
                          TrackedWorker& aWorker);
   bool ApplyEnd(TrackedWorker& aWorker, const EndedTask& aEnd, Instant aNow);
   void NoteRunTime(const TrackedJob& aJob, const TaskUnit& aUnit, Instant aNow);
+  void MeasurePaces();
+  static KindOfWork KindOfWorkOf(const TrackedJob& aJob, const TaskUnit& aUnit);
+  /** Records what runs beside what on the worker. */
+  void NoteNeighbours(const TrackedWorker& aWorker,
+                      const WorkerReport& aReport);
   MeasuredRun MeasuredRunOf(const TrackedJob& aJob,
                             const TaskUnit& aUnit,
                             std::int32_t aIndex) const;
@@ -217,7 +240,10 @@
   std::map<QueueAddress, QueueName> queueNames;
   std::vector<StopOrder> orphans;
   QueueRunTimes runTimes;
+  /** Whether paces are used; they are also measured for the neighbours. */
+  bool isPaceUsed = false;
   std::optional<WorkerPaces> paces;
+  std::optional<NeighbourEffects> neighbours;
   Instant lastSweep{};
 };
 
--- a/zones/pass_decisions.h
+++ b/zones/pass_decisions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "zones/given_up_runs.h"
+#include "zones/neighbours/kind_pair.h"
 #include "zones/pace/pace_change.h"
 #include "zones/placed_unit.h"
 #include "zones/preempted_unit.h"
@@ -21,6 +22,7 @@
   std::vector<PreemptedUnit> preempted;
   std::vector<GivenUpRuns> givenUp;
   std::vector<PaceChange> paceChanges;
+  std::vector<KindPair> disturbances;
 
   auto operator<=>(const PassDecisions&) const = default;
 };
--- a/zones/place_search.cpp
+++ b/zones/place_search.cpp
@@ -5,6 +5,7 @@
 #include "zones/placement_request.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <iterator>
 #include <map>
@@ -57,18 +58,32 @@
   }
 }
 
+/** Grade of what is expected to slow tasks and their neighbours down; 0 for
+ * none. Equal grades leave the order by fullness as it is. */
+std::int32_t
+DisturbanceRank(const CandidateWorker& aWorker)
+{
+  constexpr double kGrade = 0.25;
+  return static_cast<std::int32_t>(
+    std::ceil(aWorker.Outlook().Disturbance() / kGrade));
+}
+
 std::vector<WorkerName>
 FillSome(const Workers& aWorkers,
          const PlacementRequest& aRequest,
          PacePreference aPreference)
 {
-  using Rank =
-    std::tuple<std::int32_t, std::int32_t, double, const CandidateWorker*>;
+  using Rank = std::tuple<std::int32_t,
+                          std::int32_t,
+                          std::int32_t,
+                          double,
+                          const CandidateWorker*>;
   std::vector<Rank> ranks;
   ranks.reserve(aWorkers.size());
   for (const CandidateWorker* worker : aWorkers) {
     ranks.emplace_back(worker->Penalty(),
                        PaceRank(*worker, aPreference),
+                       DisturbanceRank(*worker),
                        Emptiness(*worker),
                        worker);
   }
@@ -82,7 +97,7 @@
       break;
     }
     std::pop_heap(ranks.begin(), ranks.end(), std::greater<>());
-    const CandidateWorker* worker = std::get<3>(ranks.back());
+    const CandidateWorker* worker = std::get<4>(ranks.back());
     ranks.pop_back();
     const std::int32_t here =
       std::min(left, TasksThatFit(*worker, aRequest.Need()));
@@ -125,7 +140,8 @@
 
 /** Of the racks in which all tasks fit, chooses the one with the lowest maximum
  * penalty, then the one in which fewest of the tasks need workers that may be
- * too slow for them, then the one with the fewest free accelerators. */
+ * too slow for them, then the one in which fewest would disturb others or be
+ * disturbed, then the one with the fewest free accelerators. */
 std::optional<std::vector<WorkerName>>
 FillOneRack(const Workers& aWorkers,
             const PlacementRequest& aRequest,
@@ -136,10 +152,11 @@
     racks[worker->Rack()].push_back(worker);
   }
   std::optional<std::vector<WorkerName>> best;
-  std::tuple<std::int32_t, std::int64_t, std::int64_t> bestRank;
+  std::tuple<std::int32_t, std::int64_t, std::int64_t, std::int64_t> bestRank;
   for (const auto& [name, workers] : racks) {
     std::int64_t fittingTasks = 0;
     std::int64_t fittingInTime = 0;
+    std::int64_t fittingUndisturbed = 0;
     std::int64_t free = 0;
     std::int32_t penalty = 0;
     for (const CandidateWorker* worker : workers) {
@@ -149,12 +166,14 @@
         PaceClassOf(worker->Outlook().Pace()) >= PaceClass::kTypical;
       fittingTasks += here;
       fittingInTime += isInTime ? here : 0;
+      fittingUndisturbed += DisturbanceRank(*worker) == 0 ? here : 0;
       free += worker->Free().Accelerators();
       penalty = std::max(penalty, worker->Penalty());
     }
     const std::tuple rank(
       penalty,
       std::max<std::int64_t>(aRequest.Count() - fittingInTime, 0),
+      std::max<std::int64_t>(aRequest.Count() - fittingUndisturbed, 0),
       free);
     if (fittingTasks >= aRequest.Count() && (!best || rank < bestRank)) {
       best = Fill(workers, aRequest, aBand);
--- a/zones/placement_view.cpp
+++ b/zones/placement_view.cpp
@@ -29,6 +29,22 @@
          aLess.Need().Accelerators() <= aMore.Need().Accelerators();
 }
 
+CandidateWorker
+WithOutlook(const CandidateWorker& aWorker, const WorkerOutlook& aOutlook)
+{
+  Reason ignored; // Only the name is checked, and it is set.
+  return CandidateWorkerBuilder()
+    .Name(aWorker.Name())
+    .Rack(aWorker.Rack())
+    .Free(aWorker.Free())
+    .Total(aWorker.Total())
+    .MaxTasks(aWorker.MaxTasks())
+    .Penalty(aWorker.Penalty())
+    .Outlook(aOutlook)
+    .Build(ignored)
+    .value_or(aWorker);
+}
+
 }
 
 PlacementView::PlacementView(const DomainState& aDomain,
@@ -97,8 +113,18 @@
 {
   const Pool& pool = this->PoolOf(aJob.Job().Service());
   const JobStep& step = aJob.StepOf(aUnit);
+  const auto kind = this->domain->DisturbedKindOf(aJob, aUnit);
   if (this->IsUnrestricted(aJob, aUnit, aRef)) {
-    return pool.workers;
+    if (!kind) {
+      return pool.workers;
+    }
+    this->restrictedWorkers.clear();
+    for (const CandidateWorker& worker : pool.workers) {
+      this->restrictedWorkers.push_back(WithOutlook(
+        worker,
+        this->domain->OutlookFor(worker.Name(), worker.Outlook(), *kind)));
+    }
+    return this->restrictedWorkers;
   }
   this->restrictedWorkers.clear();
   for (const CandidateWorker& worker : pool.workers) {
@@ -128,6 +154,7 @@
       ? kNoLimit
       : step.MaxTasksPerWorker() -
           worker.CountOf(DomainState::AddressOf(aJob, aUnit, aUnit.First()));
+  const auto kind = this->domain->DisturbedKindOf(aJob, aUnit);
   Reason ignored; // Only the name is checked, and it is set.
   return CandidateWorkerBuilder()
     .Name(aWorker.Name())
@@ -137,7 +164,9 @@
     .Total(aWorker.Total())
     .MaxTasks(maxTasks)
     .Penalty(aWorker.Penalty())
-    .Outlook(aWorker.Outlook())
+    .Outlook(
+      kind ? this->domain->OutlookFor(aWorker.Name(), aWorker.Outlook(), *kind)
+           : aWorker.Outlook())
     .Build(ignored)
     .value_or(aWorker);
 }
