--- a/codecs/pace_records_text.cpp
+++ b/codecs/pace_records_text.cpp
@@ -30,7 +30,8 @@
     for (std::size_t digit = 0; digit < kFingerprintDigits; ++digit) {
       text += kDigits[(fingerprint >> (kBitsPerDigit * digit)) & kDigitMask];
     }
-    text += kDigits[static_cast<std::size_t>(steps + kZeroSteps)];
+    const auto last = static_cast<std::uint32_t>(steps + kZeroSteps);
+    text += kDigits[last];
   }
   return text;
 }
--- a/machines/worker_listing_builder.h
+++ b/machines/worker_listing_builder.h
@@ -21,6 +21,8 @@
   WorkerListingBuilder& Labels(std::vector<std::string> aLabels);
   WorkerListingBuilder& Capacity(Resources aCapacity);
   WorkerListingBuilder& IsLeaving(bool aIsLeaving);
+  WorkerListingBuilder& ColdLeft(Milliseconds aColdLeft);
+  WorkerListingBuilder& TimeLeft(std::optional<Milliseconds> aTime);
   std::optional<WorkerListing> Build(Reason& aReason) const;
 
 private:
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -12,6 +12,7 @@
 #include "scheduling/domain_term.h"
 #include "scheduling/event_line.h"
 #include "scheduling/job_archive.h"
+#include "scheduling/lease_bound_writer.h"
 #include "scheduling/order_sender.h"
 #include "scheduling/platform_schema.h"
 #include "scheduling/progress_writer.h"
@@ -50,6 +51,7 @@
     , feeds(*this, this->poller)
     , sender(*this)
     , writer(*this, this->sender)
+    , boundWriter(*this)
     , maintenance(*this)
     , archive(*this)
   {
@@ -57,9 +59,10 @@
   }
 
   /** Starts the loops of the term. */
-  void Start(const ServiceCatalog& aCatalog)
+  void Start(const ServiceCatalog& aCatalog, const EvacuationView& aEvacuations)
   {
     this->Adopt(aCatalog);
+    this->Adopt(aEvacuations);
     this->Spawn([this] { return this->Run(); });
   }
 
@@ -80,6 +83,18 @@
     this->RequestPass();
   }
 
+  /** Applies the evacuated data centres as last confirmed, and requests a
+   * scheduling pass when they changed. */
+  void Adopt(const EvacuationView& aEvacuations)
+  {
+    const bool isChanged =
+      aEvacuations.Closed() != this->Domain().Evacuations().Closed();
+    this->Domain().SetEvacuations(aEvacuations);
+    if (isChanged) {
+      this->RequestPass();
+    }
+  }
+
 private:
   /** Interval of the passes that run without an event, for changes that only
    * depend on time. */
@@ -92,7 +107,10 @@
     bool isLoaded = false;
     while (this->IsActive() && !isLoaded) {
       Reason reason;
-      isLoaded = co_await this->feeds.Load(reason);
+      isLoaded = co_await this->boundWriter.Load(reason);
+      if (isLoaded) {
+        isLoaded = co_await this->feeds.Load(reason);
+      }
       if (!isLoaded) {
         EventLine("domain_load_failed")
           .Field("term", this->Number())
@@ -110,6 +128,7 @@
     this->Spawn([this] { return this->feeds.FollowJobs(); });
     this->Spawn([this] { return this->feeds.FollowWorkers(); });
     this->Spawn([this] { return this->writer.Run(); });
+    this->Spawn([this] { return this->boundWriter.Run(); });
     this->Spawn([this] { return this->maintenance.PublishPending(); });
     this->Spawn([this] { return this->maintenance.PublishUsage(); });
     if (this->policy.IsPaceUsed()) {
@@ -134,11 +153,10 @@
     if (this->IsExclusivityLost()) {
       return;
     }
-    DomainPass pass(this->Domain(),
-                    this->reservations,
-                    Clock::now(),
-                    WallNow(),
-                    this->policy);
+    const Instant now = Clock::now();
+    this->LogWithheldStarts(now);
+    DomainPass pass(
+      this->Domain(), this->reservations, now, WallNow(), this->policy);
     PassDecisions decisions = pass.Run();
     this->LogDecisions(decisions);
     this->sender.SendStops(decisions.stops);
@@ -146,6 +164,18 @@
     this->writer.Wake();
   }
 
+  /** Logs when starts begin to wait for a confirmation of the evacuated data
+   * centres, and when they go on. */
+  void LogWithheldStarts(Instant aNow)
+  {
+    const bool areWithheld = this->Domain().AreStartsWithheld(aNow);
+    if (std::exchange(this->areStartsWithheld, areWithheld) != areWithheld) {
+      EventLine(areWithheld ? "starts_withheld" : "starts_resumed")
+        .Field("term", this->Number())
+        .Emit();
+    }
+  }
+
   void LogDecisions(const PassDecisions& aDecisions)
   {
     for (const PlacedUnit& placed : aDecisions.placed) {
@@ -188,11 +218,13 @@
   }
 
   DomainPolicy policy;
+  bool areStartsWithheld = false;
   PreemptionReservations reservations;
   WorkerPoller<Term> poller;
   DomainFeeds<Term, Schema> feeds;
   OrderSender<Term> sender;
   ProgressWriter<Term> writer;
+  LeaseBoundWriter<Term> boundWriter;
   DomainMaintenance<Term> maintenance;
   JobArchive<Term> archive;
 };
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -6,6 +6,7 @@
 #include "core/instant.h"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -34,6 +35,8 @@
     kRunLost,
     /** A stored job that this version cannot load. */
     kJobNotLoaded,
+    /** A placed start that was not sent because of an evacuation. */
+    kStartWithheld,
     /** A worker whose pace came into another class. */
     kPaceChanged,
     /** A pair of kinds of work that was found to disturb each other, or not to
@@ -56,6 +59,8 @@
   /** Records runs that were given up after their worker was silent for a time.
    */
   void RecordGivenUp(std::int64_t aRuns, Milliseconds aSilent);
+  /** Sets the number of evacuated data centres. */
+  void SetClosedDataCentres(std::size_t aCount);
   void Count(Event aEvent);
   std::uint64_t CountOf(Event aEvent) const;
 
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -46,6 +46,10 @@
 /** Measured paces of workers, for the next holder. It may be absent or old:
  * paces of other lives of workers match none. */
 inline const std::string kPaceRow = "pace";
+/** By when every lease on each unreachable worker has expired. The next holder
+ * relies on it, so a worker is withdrawn from this row before it is granted a
+ * lease again. */
+inline const std::string kLeaseBoundsRow = "lease_bounds";
 
 /** Key of the row in kJobTable that marks aJob as cancelled. */
 std::string
--- a/tests/codecs/domain_codecs_test.cpp
+++ b/tests/codecs/domain_codecs_test.cpp
@@ -32,6 +32,7 @@
 {
   CPPUNIT_TEST_SUITE(DomainCodecsTest);
   CPPUNIT_TEST(AdmittedJobRoundTrips);
+  CPPUNIT_TEST(JobOfEarlierVersionHasNoDataCentre);
   CPPUNIT_TEST(JobProgressRoundTrips);
   CPPUNIT_TEST(ProgressRowsRoundTripWithinTheirLimit);
   CPPUNIT_TEST(ProgressOfEarlierVersionsIsRead);
@@ -41,6 +42,7 @@
   CPPUNIT_TEST(InvalidStoredPacesAreRefused);
   CPPUNIT_TEST(Base64RoundTripsAndRefusesInvalidText);
   CPPUNIT_TEST(TextOfAnotherFormIsRefused);
+  CPPUNIT_TEST(EvacuateTimeMayBeEmpty);
   CPPUNIT_TEST(InvalidHostSettingsAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
@@ -78,6 +80,16 @@
     }
   }
 
+  void JobOfEarlierVersionHasNoDataCentre()
+  {
+    Reason reason;
+    const AdmittedJob job = MakeAdmitted("job", 1, { Valid(QuarterStep(1)) });
+    const std::string text = EncodeAdmittedJob(job);
+    CPPUNIT_ASSERT(text.find("data_centre") == std::string::npos);
+    const auto read = DecodeAdmittedJob(text, reason);
+    CPPUNIT_ASSERT(read.has_value() && read->DataCentre().Empty());
+  }
+
   void AdmittedJobRoundTrips()
   {
     const AdmittedJob job = MakeAdmitted(
@@ -211,6 +223,20 @@
     }
   }
 
+  /** A platform without a bound for evacuations leaves the value empty. */
+  void EvacuateTimeMayBeEmpty()
+  {
+    Reason reason;
+    for (const char* empty : { "", "timing:\n  evacuate_ms: \n" }) {
+      const auto host = DecodeDomainHostSettings(kHost + empty, "f", reason);
+      CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
+      CPPUNIT_ASSERT(!host->Timing().EvacuateTime());
+    }
+    const auto host = DecodeDomainHostSettings(
+      kHost + "timing:\n  evacuate_ms: 5000\n", "f", reason);
+    CPPUNIT_ASSERT(Milliseconds(5000) == host->Timing().EvacuateTime());
+  }
+
   void InvalidHostSettingsAreRefused()
   {
     Reason reason;
@@ -219,7 +245,8 @@
     const auto host = DecodeDomainHostSettings(
       kHost + "core_share: 0.25\ngrace_s: 4.5\n"
               "timing: {worker_lease_ms: 10000, restart_s: 14.5}\n"
-              "policy: {headroom: 0.15, use_pace: true}\n",
+              "policy: {headroom: 0.15, use_pace: true}\n"
+              "limits: {memory_mb: 120, descriptors: 3075, request_s: 20}\n",
       "f",
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), host.has_value());
@@ -233,6 +260,11 @@
     CPPUNIT_ASSERT(host->Policy().IsPaceUsed());
     CPPUNIT_ASSERT(!host->Policy().IsRoomShared());
     CPPUNIT_ASSERT(!host->Policy().AreKindsSeparated());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 30 } << 20U,
+                         host->Limits().MemoryBytes());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{ 958 }, host->Limits().Connections());
+    CPPUNIT_ASSERT(Milliseconds(20'000) == host->Limits().RequestTime());
+    CPPUNIT_ASSERT(CallerLimits().IdleTime() == host->Limits().IdleTime());
     for (const char* invalidLine : { "core_share: no\n",
                                      "core_share: -1\n",
                                      "threads: 0\n",
@@ -241,6 +273,13 @@
                                      "policy: {headroom: 2}\n",
                                      "policy: {most_waste: .nan}\n",
                                      "policy: {share_room: 2}\n",
+                                     "timing: {evacuate_ms: 0}\n",
+                                     "timing: {evacuate_ms: 3999}\n",
+                                     "timing: {evacuate_ms: never}\n",
+                                     "limits: {memory_mb: 1}\n",
+                                     "limits: {connections: 0}\n",
+                                     "limits: {caller_memory_mb: 1}\n",
+                                     "limits: {idle: 3}\n",
                                      "timing: {stop_ms: 0}\n",
                                      "timing: {restart_s: 0}\n" }) {
       CPPUNIT_ASSERT_MESSAGE(
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -2,6 +2,7 @@
 
 #include "contracts/domain_policy.h"
 #include "contracts/domain_timing.h"
+#include "contracts/store_clock.h"
 #include "tests/scheduling/sample_jobs.h"
 #include "tests/stand_ins/site_simulation.h"
 #include "zones/domain_state.h"
@@ -44,7 +45,15 @@
   DomainPolicy policy;
   bool isStoreDown = false;
   bool isHolderStalled = false;
+  /** Number of writes of lease bounds. */
+  int boundWrites = 0;
+  /** See DomainOwner::BoundsKeptSince(). */
+  std::int64_t boundsKeptSince = 1;
   std::set<std::string> cutOff;
+  /** Whether the holder, and the host that takes over next, cannot read the
+   * operators' rows. */
+  bool isHolderBlind = false;
+  bool isNextBlind = false;
   /** Runs that the passes gave up because of their worker's lease. */
   std::vector<GivenUpRuns> givenUp;
 
@@ -57,6 +66,10 @@
   /** Stores a cancellation by the caller; the holder finds it during its next
    * pass. */
   void Cancel(const std::string& aJob);
+  /** Requests the evacuation of a data centre, or takes it back. Each rack is
+   * a data centre of its own: rack "r0" is in "d0". */
+  void Evacuate(const std::string& aDataCentre);
+  void TakeBack(const std::string& aDataCentre);
   /** Makes another process the holder, after the release or the loss of the
    * present one; orders on their way remain. */
   void TakeOver(bool aIsReleased = false);
@@ -100,7 +113,13 @@
     std::function<void()> execute;
   };
 
+  static WorkerListing ListingOf(const SiteWorker& aWorker,
+                                 bool aIsLeaving = false);
+  /** Has the hosts that can reach the store read the evacuated data centres. */
+  void ReadEvacuations();
+  StoreClock ReadStoreClock() const;
   void Store();
+  void StoreLeaseBounds();
   void StoreJob(const JobKey& aKey);
   void SendStart(const StartOrder& aOrder, OrderFault aFault);
   void SendStop(const StopOrder& aOrder, OrderFault aFault);
@@ -115,10 +134,13 @@
   std::map<std::string, Stored> store;
   std::int64_t revision = 0;
   std::int64_t term = 0;
+  LeaseBounds storedBounds;
   std::optional<DomainState> domain;
   PreemptionReservations reservations;
   std::vector<StartOrder> unsentStarts;
   std::vector<DelayedOrder> delayedOrders;
+  std::set<DataCentreName> closed;
+  EvacuationView nextView;
   std::int64_t lastIncarnation = 1000;
 };
 
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -2,11 +2,14 @@
 
 #include "contracts/progress_limits.h"
 #include "zones/domain_state.h"
+#include "zones/fairness/waiting_order.h"
+#include "zones/locality/few_data_centres.h"
 #include "zones/pace/pace_preference_choice.h"
 #include "zones/place_search.h"
 #include "zones/preemption_reservations.h"
 #include "zones/run_monitor.h"
 #include "zones/step_placement_request.h"
+#include "zones/stops/departure.h"
 #include "zones/work_size.h"
 
 #include <algorithm>
@@ -53,6 +56,18 @@
   return aUnit.Done() ? StopCause::kUnitDone : aUnit.AbandonedFor();
 }
 
+/** Number of tasks of the step that fit into what is free. */
+std::int64_t
+CountFitting(const std::vector<CandidateWorker>& aWorkers, const JobStep& aStep)
+{
+  std::int64_t fitting = 0;
+  for (const CandidateWorker& worker : aWorkers) {
+    fitting +=
+      std::min(worker.Free().CountFitting(aStep.Need()), worker.MaxTasks());
+  }
+  return fitting;
+}
+
 }
 
 DomainPass::DomainPass(DomainState& aDomain,
@@ -70,6 +85,7 @@
             aReservations,
             this->view,
             aNow,
+            aWallTime,
             aPolicy.MaxPreemptionWaste())
 {
   aDomain.ApplyPolicy(this->policy);
@@ -79,6 +95,11 @@
 DomainPass::Run()
 {
   this->reservations->DropExpired(this->now);
+  // Their units would wait for resources that they may not use.
+  this->reservations->DropOn([this](const WorkerName& aWorker) {
+    const TrackedWorker* worker = this->domain->FindWorker(aWorker);
+    return worker != nullptr && !this->domain->OutlookOf(*worker).IsOpen();
+  });
   if (WorkerPaces* paces = this->domain->Paces()) {
     paces->Fit(this->now);
     this->decisions.paceChanges = paces->TakeChanges();
@@ -89,6 +110,7 @@
   }
   if (this->domain->IsSweepDue(this->now)) {
     this->decisions.givenUp = RunMonitor(*this->domain, this->now).Run();
+    GiveUpRunsOnLeavingWorkers(*this->domain, this->now);
   }
   this->StopUnneeded();
   for (const WaitingGroup& group : this->WaitingGroups()) {
@@ -123,6 +145,7 @@
     }
   }
   for (const JobKey& key : retired) {
+    NoteServed(*this->domain, *this->domain->FindJob(key), this->now);
     this->domain->Retire(key);
   }
   std::vector<StopOrder> orphans = this->domain->TakeOrphans();
@@ -171,6 +194,14 @@
       this->CollectWaiting(job, groups);
     }
   }
+  if (this->policy.IsRoomShared() && groups.size() > 1) {
+    const WaitingOrder order(*this->domain, this->now);
+    for (WaitingGroup& group : groups) {
+      const TrackedJob& job = *this->domain->FindJob(group.job);
+      group.isBeyondGuarantee = order.IsBeyondGuarantee(job);
+      group.position = order.PositionOf(job);
+    }
+  }
   std::sort(groups.begin(), groups.end());
   return groups;
 }
@@ -205,6 +236,7 @@
       if (!units.empty()) {
         fullSteps += ++groupsOfStep[step] >= kMaxGroupsOfStep ? 1 : 0;
         aGroups.push_back(WaitingGroup{ aJob.Job().Priority(),
+                                        false,
                                         aJob.Job().Admitted(),
                                         aJob.Job().Key(),
                                         units.front(),
@@ -282,13 +314,13 @@
                        const WaitingGroup& aGroup)
 {
   const JobStep& step = aJob.StepOf(aFirst);
-  const bool isOverdue = this->IsOverdueInAmpleRoom(aJob, aFirst, aFirstRef);
   std::int64_t newTasksLeft = aGroup.maxNewTasks;
-  const std::vector<std::int32_t> units =
+  std::vector<std::int32_t> units =
     WaitingUnits(aJob, aGroup.occurrence, aGroup.step, newTasksLeft);
-  // An overdue job gets one task started; the others go on waiting.
+  const std::int32_t overdue =
+    this->CountOverdueTasks(aJob, aFirst, aFirstRef, units);
   const std::int32_t limit =
-    std::max(this->MaxTasksWithinHeadroom(aJob, step), isOverdue ? 1 : 0);
+    std::max(this->MaxTasksWithinHeadroom(aJob, step), overdue);
   const std::int32_t count =
     std::min(static_cast<std::int32_t>(units.size()), limit);
   if (count < 1) {
@@ -299,13 +331,15 @@
   const PacePreference pace = this->PaceFor(aJob, aFirst);
   std::vector<WorkerName> places =
     FindSomePlaces(workers, MakePlacementRequest(step, count, true, pace));
-  if (places.empty() && !step.DataRack().Empty() &&
-      this->Waited(aJob) >= this->MaxLocalityWait(aJob, step)) {
+  const bool mayWait =
+    !this->view.IsClosedRack(aJob.Job().Service(), step.DataRack()) &&
+    this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
+  if (places.empty() && !step.DataRack().Empty() && !mayWait) {
     places =
       FindSomePlaces(workers, MakePlacementRequest(step, count, false, pace));
-  } else if (places.empty() && isOverdue) {
+  } else if (places.empty() && overdue > 0) {
     places =
-      FindSomePlaces(workers, MakePlacementRequest(step, 1, false, pace));
+      FindSomePlaces(workers, MakePlacementRequest(step, overdue, false, pace));
   }
   for (std::size_t position = 0; position < places.size(); ++position) {
     TaskUnit& unit = aJob.Open(units[position]);
@@ -328,12 +362,64 @@
   const bool isEndless = aJob.StepOf(aUnit).IsEndless();
   const bool isQuiet = this->now >= this->domain->LastArrival() + kQuietTime;
   const bool isJudged = isEndless || (isQuiet && aJob.Idle());
-  aUnit.NoteAmpleRoom(isJudged && this->view.HasAmpleRoom(aJob, aUnit, aRef),
-                      this->now);
-  const Milliseconds wait = isEndless ? kMaxAmpleRoomWait : Milliseconds(0);
+  return this->IsOverdue(aJob.StepOf(aUnit),
+                         aUnit,
+                         isJudged &&
+                           this->view.HasAmpleRoom(aJob, aUnit, aRef));
+}
+
+bool
+DomainPass::IsOverdue(const JobStep& aStep,
+                      TaskUnit& aUnit,
+                      bool aHasRoom) const
+{
+  aUnit.NoteAmpleRoom(aHasRoom, this->now);
+  // A task that lost its run with its worker is not at fault and has no reason
+  // to wait.
+  const bool isPaced =
+    aStep.IsEndless() && (aUnit.Run() == 0 || aUnit.HasFailed());
+  const Milliseconds wait = isPaced ? kMaxAmpleRoomWait : Milliseconds(0);
   return aUnit.AmpleRoomSince() && this->now >= *aUnit.AmpleRoomSince() + wait;
 }
 
+std::int32_t
+DomainPass::CountOverdueTasks(TrackedJob& aJob,
+                              TaskUnit& aFirst,
+                              const UnitRef& aFirstRef,
+                              std::vector<std::int32_t>& aUnits)
+{
+  const JobStep& step = aJob.StepOf(aFirst);
+  if (!step.IsEndless()) {
+    // An overdue job gets one task started; the others go on waiting.
+    return this->IsOverdueInAmpleRoom(aJob, aFirst, aFirstRef) ? 1 : 0;
+  }
+  // Each of them has to fit twice when its turn comes, so the last one leaves
+  // room for one more.
+  const std::int64_t room =
+    CountFitting(this->view.CandidatesFor(aJob, aFirst, aFirstRef), step) - 1;
+  std::vector<std::int32_t> overdue;
+  std::vector<std::int32_t> others;
+  std::optional<bool> areNewOverdue;
+  for (const std::int32_t number : aUnits) {
+    const auto open = aJob.OpenUnits().find(number);
+    const bool isNew =
+      open == aJob.OpenUnits().end() || open->second.Run() == 0;
+    // Tasks without a run have waited equally long, so the first one's time is
+    // kept for all of them.
+    const bool isOverdue =
+      isNew && areNewOverdue
+        ? *areNewOverdue
+        : this->IsOverdue(step, aJob.Open(number), room > 0);
+    areNewOverdue = isNew ? isOverdue : areNewOverdue;
+    (isOverdue ? overdue : others).push_back(number);
+  }
+  const auto count = static_cast<std::int64_t>(overdue.size());
+  aUnits = std::move(overdue);
+  aUnits.insert(aUnits.end(), others.begin(), others.end());
+  return static_cast<std::int32_t>(
+    std::min(count, std::max<std::int64_t>(room, 0)));
+}
+
 /** Whether batch work may still wait behind other work: it has waited less than
  * BatchWaitShare() of the slack that its objective leaves it. */
 bool
@@ -415,15 +501,25 @@
   const PlacementRequest anywhere =
     MakePlacementRequest(step, aUnit.Count(), false, pace);
   auto places = this->view.Find(aJob, aUnit, aRef, local);
-  if (places || local == anywhere) {
-    return places;
+  if (local != anywhere) {
+    if (places) {
+      return places;
+    }
+    const bool mayWait =
+      !aIsOverdue && this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
+    if (mayWait &&
+        CouldFit(this->view.CandidatesFor(aJob, aUnit, aRef), local)) {
+      return std::nullopt;
+    }
+    places = this->view.Find(aJob, aUnit, aRef, anywhere);
   }
-  const bool mayWait =
-    !aIsOverdue && this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
-  if (mayWait && CouldFit(this->view.CandidatesFor(aJob, aUnit, aRef), local)) {
+  if (!places) {
     return std::nullopt;
   }
-  return this->view.Find(aJob, aUnit, aRef, anywhere);
+  return FindPlacesInFewDataCentres(*this->domain,
+                                    this->view.CandidatesFor(aJob, aUnit, aRef),
+                                    anywhere,
+                                    *places);
 }
 
 Milliseconds
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -6,6 +6,10 @@
 #include "contracts/task_address.h"
 #include "core/instant.h"
 #include "core/names.h"
+#include "zones/evacuation/evacuation_view.h"
+#include "zones/evacuation/start_admission.h"
+#include "zones/fairness/service_history.h"
+#include "zones/lease_bound_record.h"
 #include "zones/neighbours/neighbour_effects.h"
 #include "zones/pace/worker_paces.h"
 #include "zones/queue_run_times.h"
@@ -59,6 +63,9 @@
   /** Jobs that are not final, or whose runs may not have ended yet. */
   const std::set<JobKey>& Active() const { return this->active; }
   void Retire(const JobKey& aJob) { this->active.erase(aJob); }
+  /** How the jobs that have ended in this term were served. */
+  const ServiceHistory& Served() const { return this->served; }
+  ServiceHistory& Served() { return this->served; }
 
   /** Number of accelerators that each team is guaranteed for jobs of priority
    * 0. */
@@ -68,6 +75,14 @@
   /** Names of the queues in force, by address. */
   void SetQueueNames(std::map<QueueAddress, QueueName> aNames);
 
+  /** The evacuated data centres, whose workers get no new tasks. */
+  void SetEvacuations(EvacuationView aView);
+  const EvacuationView& Evacuations() const { return this->evacuations; }
+  /** Whether a start may be sent to the worker. */
+  StartAdmission AdmitStartOn(const WorkerName& aWorker, Instant aNow) const;
+  /** Whether starts wait until the evacuated data centres are confirmed. */
+  bool AreStartsWithheld(Instant aNow) const;
+
   void ListWorker(const WorkerListing& aListing, Instant aNow);
   void UnlistWorker(const WorkerName& aWorker);
   TrackedWorker* FindWorker(const WorkerName& aWorker);
@@ -109,6 +124,20 @@
   /** Whether a run may still be on the worker, including one that an earlier
    * holder started. */
   bool MayStillRun(const WorkerName& aWorker, Instant aNow) const;
+  /** Adopts the bounds of the leases on unreachable workers that earlier
+   * holders stored; see LeaseBoundRecord::Adopt(). */
+  void AdoptLeaseBounds(const LeaseBounds& aStored,
+                        std::int64_t aKeptSince,
+                        const StoreClock& aClock);
+  /** Whether the stored bounds of the leases on unreachable workers have to
+   * change. */
+  bool AreLeaseBoundsDue(Instant aNow) const;
+  /** The bounds to store now. A worker that is in them gets no lease until
+   * LeaseBoundsAnswered() has shown that the store does not hold its bound. */
+  LeaseBounds PlanLeaseBounds(std::int64_t aTerm,
+                              const StoreClock& aClock,
+                              Instant aNow);
+  void LeaseBoundsAnswered(WriteOutcome aOutcome);
   /** When the worker last answered this holder, or the start of the term when
    * it never did. */
   Instant SilentSince(const WorkerName& aWorker) const;
@@ -120,7 +149,8 @@
                                      Instant aSent,
                                      Instant aReceived);
   /** Time on the worker's clock, in ms, from which the worker refuses the start
-   * that is about to be sent; empty when the start is not needed any more. */
+   * that is about to be sent; empty when the start is not needed any more or
+   * must not be sent to the worker. */
   std::optional<std::int64_t> StartDeadlineMs(const StartOrder& aOrder,
                                               Instant aNow);
   /** Time on the worker's clock, in ms, until which a poll renews the worker's
@@ -193,6 +223,12 @@
                           StopCause aCause);
 
 private:
+  /** By when every lease on the worker has expired. */
+  Instant LeaseBoundOf(const WorkerName& aWorker, Instant aNow) const;
+  bool IsUnreachable(const WorkerName& aWorker, Instant aNow) const;
+  /** Bounds that the store should hold. */
+  std::map<WorkerName, Instant> WantedLeaseBounds(Instant aNow) const;
+  void UpdateWithheld();
   const QueueName& CurrentQueueName(const AdmittedJob& aJob) const;
   void AllocateResources(const TrackedJob& aJob,
                          const TaskUnit& aUnit,
@@ -236,14 +272,19 @@
   /** Archived jobs, with the time from which their retention counts. */
   std::map<JobKey, Instant> archived;
   std::map<WorkerName, TrackedWorker> workers;
+  /** Workers that were not listed when a job with runs on them was added. */
+  std::set<WorkerName> unlistedPlaces;
+  LeaseBoundRecord leaseBounds;
   std::map<TeamName, std::int64_t> guarantees;
   std::map<QueueAddress, QueueName> queueNames;
   std::vector<StopOrder> orphans;
+  EvacuationView evacuations;
   QueueRunTimes runTimes;
   /** Whether paces are used; they are also measured for the neighbours. */
   bool isPaceUsed = false;
   std::optional<WorkerPaces> paces;
   std::optional<NeighbourEffects> neighbours;
+  ServiceHistory served;
   Instant lastSweep{};
 };
 
--- a/zones/pace/worker_paces.cpp
+++ b/zones/pace/worker_paces.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-/** With fewer measured workers their median is no typical one. */
-constexpr std::size_t kMinMeasuredWorkers = 8;
+/** With fewer measured workers, the slow ones among them may be so by chance.
+ */
+constexpr std::size_t kMinMeasuredWorkers = 20;
 /** A service is uneven when one worker in ten is below this pace, at which a
  * run that starts at once misses an objective of 1.5 times its run time; it is
  * even again when that worker is above the other pace. */
--- a/zones/tracked_worker.cpp
+++ b/zones/tracked_worker.cpp
@@ -43,9 +43,14 @@
 {
   if (!aListing.IsLeaving()) {
     this->leavingSince.reset();
+    this->staysUntil.reset();
   } else if (!this->leavingSince) {
     this->leavingSince = aNow;
+    if (aListing.TimeLeft()) {
+      this->staysUntil = aNow + *aListing.TimeLeft();
+    }
   }
+  this->coldUntil = aNow + aListing.ColdLeft();
   this->listing = std::move(aListing);
   this->listed = true;
 }
@@ -68,6 +73,7 @@
   this->hasAnswered = true;
   this->isReplaced = false;
   this->isIncarnationConfirmed = true;
+  this->isPollFailed = false;
   // Answers may arrive out of order; the clock only moves forward.
   if (aClockMs >= this->clockMs) {
     this->clockMs = aClockMs;
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -25,6 +25,9 @@
   /** When the worker was first listed as leaving; empty while it is not
    * leaving. */
   std::optional<Instant> LeavingSince() const { return this->leavingSince; }
+  /** Until when a worker that is leaving stays at least; empty when that is not
+   * known. */
+  const std::optional<Instant>& StaysUntil() const { return this->staysUntil; }
 
   std::int64_t Incarnation() const { return this->incarnation; }
   /** Whether the worker has answered this holder; from then on it refuses
@@ -80,9 +83,25 @@
    * when the latest answer is too old to rule out an unnoticed crash: the
    * worker may have restarted since, and its numbers with it. */
   std::int64_t Acknowledged(Instant aNow) const;
-  void PollFailed() { this->isIncarnationConfirmed = false; }
+  void PollFailed()
+  {
+    this->isIncarnationConfirmed = false;
+    this->isPollFailed = true;
+  }
+  /** Whether a poll failed since the latest answer. */
+  bool IsPollFailed() const { return this->isPollFailed; }
   /** Whether the latest poll was answered. */
-  bool IsIncarnationConfirmed() const { return this->isIncarnationConfirmed; }
+  bool IsAnswering() const { return this->isIncarnationConfirmed; }
+  /** Whether the latest poll was answered and the worker may be granted leases.
+   */
+  bool IsIncarnationConfirmed() const
+  {
+    return this->isIncarnationConfirmed && !this->isWithheld;
+  }
+  /** Records whether the worker gets no lease because a bound of its leases may
+   * be stored. */
+  void SetWithheld(bool aIsWithheld) { this->isWithheld = aIsWithheld; }
+  bool IsWithheld() const { return this->isWithheld; }
   void Acknowledge(std::int64_t aNumber) { this->acknowledged = aNumber; }
 
   void NoteSuccess();
@@ -95,6 +114,8 @@
   /** Records that a run of a single task makes progress far too slowly on this
    * worker. */
   void NoteSlow(Instant aNow) { this->slowSeen = aNow; }
+  /** Whether the worker is slow after its start. */
+  bool IsCold(Instant aNow) const { return aNow < this->coldUntil; }
   /** 0 for a healthy worker; workers with a higher penalty are used last. */
   std::int32_t Penalty(Instant aNow) const;
 
@@ -102,6 +123,7 @@
   WorkerListing listing;
   bool listed = true;
   std::optional<Instant> leavingSince;
+  std::optional<Instant> staysUntil;
   bool hasAnswered = false;
   bool isReplaced = false;
   std::int64_t incarnation = 0;
@@ -112,6 +134,8 @@
   Resources used;
   Resources orphanUsage;
   bool isIncarnationConfirmed = false;
+  bool isPollFailed = false;
+  bool isWithheld = false;
   std::int64_t lastEnd = 0;
   std::int64_t acknowledged = 0;
   std::deque<UnstoredEnd> unstoredEnds;
@@ -121,6 +145,7 @@
   std::optional<Instant> slowSeen;
   Milliseconds startPause{ 0 };
   Instant nextStart{};
+  Instant coldUntil{};
 };
 
 }
