--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -38,7 +38,10 @@
     /** A placed start that was not sent because of an evacuation. */
     kStartWithheld,
     /** A worker whose pace came into another class. */
-    kPaceChanged
+    kPaceChanged,
+    /** A pair of kinds of work that was found to disturb each other, or not to
+     * any more. */
+    kDisturbanceChanged
   };
 
   /** Event as which the outcome of a run is counted. */
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "contracts/domain_policy.h"
 #include "contracts/domain_timing.h"
 #include "contracts/store_clock.h"
 #include "tests/scheduling/sample_jobs.h"
@@ -41,6 +42,7 @@
               DomainTiming aTiming = DomainTiming());
 
   SiteSimulation site;
+  DomainPolicy policy;
   bool isStoreDown = false;
   bool isHolderStalled = false;
   /** Number of writes of lease bounds. */
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -88,9 +88,7 @@
             aWallTime,
             aPolicy.MaxPreemptionWaste())
 {
-  if (this->policy.IsPaceUsed()) {
-    aDomain.MeasurePaces();
-  }
+  aDomain.ApplyPolicy(this->policy);
 }
 
 PassDecisions
@@ -106,6 +104,10 @@
     paces->Fit(this->now);
     this->decisions.paceChanges = paces->TakeChanges();
   }
+  if (NeighbourEffects* neighbours = this->domain->Neighbours()) {
+    neighbours->Fit(this->now);
+    this->decisions.disturbances = neighbours->TakeChanges();
+  }
   if (this->domain->IsSweepDue(this->now)) {
     this->decisions.givenUp = RunMonitor(*this->domain, this->now).Run();
     GiveUpRunsOnLeavingWorkers(*this->domain, this->now);
@@ -529,7 +531,7 @@
 PacePreference
 DomainPass::PaceFor(const TrackedJob& aJob, const TaskUnit& aUnit) const
 {
-  const WorkerPaces* paces = this->domain->Paces();
+  const WorkerPaces* paces = this->domain->UsedPaces();
   if (paces == nullptr || !paces->IsUneven(aJob.Job().Service())) {
     return PacePreference::kNone;
   }
