Refuse at once what the backlog keeps from being done for its callers

Cause: a host accepted every job that fitted into memory, also when the open jobs would keep the workers busy for longer than callers count on a job (three times its objective). Change: with policy.share_room, the holder states in the row domain/backlog how long the open jobs of each priority would take if all workers were always full: a lower bound, in steps of 5 s, only while it is 5 s or more, repeated every 2 s. Each admission checks the row's revision, so hosts learn of a change without reading it; a host uses a statement only if it saw the row unchanged less than 5 s before, so a stale row of a lost holder refuses nothing. Refused are jobs that would end after three times their objective, never urgent, timed or endless ones, nor a job that was accepted before. Retry-After is when the backlog leaves time for the job, and differs between jobs over the time of the backlog. Metric backlog_refusals, event backlog_stored.

--- a/daemon/caller_thread.cpp
+++ b/daemon/caller_thread.cpp
@@ -23,6 +23,7 @@
   , server(this->context, this->ingress)
 {
   this->jobApi.SetDataCentre(aHost.DataCentre());
+  this->jobApi.SetRefusingForBacklog(aHost.Policy().IsRoomShared());
 }
 
 CallerThread::~CallerThread()
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -110,6 +110,9 @@
     this->Spawn([this] { return this->writer.Run(); });
     this->Spawn([this] { return this->maintenance.PublishPending(); });
     this->Spawn([this] { return this->maintenance.PublishUsage(); });
+    if (this->policy.IsRoomShared()) {
+      this->Spawn([this] { return this->maintenance.PublishBacklog(); });
+    }
     this->Spawn([this] { return this->PassPeriodically(); });
     this->Spawn([this] { return this->archive.ArchiveEndedJobs(); });
     this->Spawn([this] { return this->archive.DeleteOldEntries(); });
--- a/scheduling/domain_job_api.h
+++ b/scheduling/domain_job_api.h
@@ -16,12 +16,14 @@
 #include "scheduling/current_catalog.h"
 #include "scheduling/domain_metrics.h"
 #include "scheduling/event_line.h"
+#include "scheduling/known_backlog.h"
 #include "scheduling/known_usage.h"
 #include "scheduling/pause.h"
 #include "scheduling/platform_schema.h"
 #include "scheduling/store_health.h"
 #include "scheduling/store_rows.h"
 #include "zones/job_intake.h"
+#include "zones/refusals/refusal_decision.h"
 
 #include <algorithm>
 #include <boost/asio/awaitable.hpp>
@@ -69,6 +71,13 @@
     this->dataCentre = std::move(aDataCentre);
   }
 
+  /** Sets whether jobs are refused that the backlog keeps from being done for
+   * their callers. */
+  void SetRefusingForBacklog(bool aIsRefusing)
+  {
+    this->isRefusingForBacklog = aIsRefusing;
+  }
+
   /** Retries of calls end by aTime, whatever the calls' deadlines. */
   void AnswerBy(Instant aTime) { this->answerBy = aTime; }
 
@@ -259,10 +268,19 @@
           co_return reply;
         }
       }
+      const AdmittedJob job = this->MakeJob(*aCall.plan, aCallContext);
+      const Instant sent = Clock::now();
+      const auto retryAfter = RetryAfterBacklog(job, this->backlog.Fresh(sent));
+      if (!mayBeWritten && retryAfter) {
+        JobReply reply =
+          co_await this->RefuseForBacklog(std::move(aCallContext), *retryAfter);
+        co_return reply;
+      }
       const TableTransaction transaction =
-        this->MakeAdmission(*aCall.plan, aCallContext);
+        this->MakeAdmission(job, aCallContext);
       const CommitAnswer answer = co_await this->Commit(transaction, reason);
       if (answer.Outcome() == WriteOutcome::kCommitted) {
+        this->backlog.NoteUnchanged(sent);
         this->usage.Add(aCallContext, bytes);
         co_return MakeReply(JobReply::Kind::kAccepted);
       }
@@ -284,6 +302,7 @@
         // longer take effect.
         mayBeWritten = false;
         this->usage.Update(answer.Current(), Clock::now());
+        this->backlog.Update(answer.Current(), sent);
         JobReply refusal;
         const auto callContext =
           this->ResolveCallAgain(aCall, answer.Current(), refusal);
@@ -330,8 +349,10 @@
 
   /** Refuses a job for which there is no room, unless it is a repetition of one
    * that was accepted before. */
-  boost::asio::awaitable<JobReply> RefuseForRoom(CallContext aCallContext,
-                                                 Reason aCause)
+  boost::asio::awaitable<JobReply> RefuseForRoom(
+    CallContext aCallContext,
+    Reason aCause,
+    Milliseconds aRetryAfter = kRetryAfterForRoom)
   {
     Reason reason;
     std::int64_t revision = 0;
@@ -344,10 +365,26 @@
       co_return Refuse(JobReply::Kind::kNotKnown, reason.Message());
     }
     JobReply refusal = Refuse(JobReply::Kind::kNotRun, aCause.Message());
-    refusal.retryAfter = kRetryAfterForRoom;
+    refusal.retryAfter = aRetryAfter;
     co_return refusal;
   }
 
+  /** Refuses a job that could not be done for its caller, unless it was
+   * accepted before. */
+  boost::asio::awaitable<JobReply> RefuseForBacklog(CallContext aCallContext,
+                                                    Milliseconds aRetryAfter)
+  {
+    Reason cause(Step::kAdmission,
+                 aCallContext.team.Text(),
+                 "the job could not be done in time");
+    JobReply reply = co_await this->RefuseForRoom(
+      std::move(aCallContext), std::move(cause), aRetryAfter);
+    if (reply.kind == JobReply::Kind::kNotRun) {
+      this->metrics->Count(DomainMetrics::Event::kBacklogRefusal);
+    }
+    co_return reply;
+  }
+
   static JobReply MakeReply(JobReply::Kind aKind)
   {
     JobReply reply;
@@ -365,28 +402,35 @@
     });
   }
 
+  /** The job of a call as it is stored. */
+  AdmittedJob MakeJob(const JobPlan& aPlan,
+                      const CallContext& aCallContext) const
+  {
+    Reason ignored; // The call context has a queue and a job's key.
+    return AdmittedJobBuilder()
+      .Key(aCallContext.job)
+      .Queue(aCallContext.queue.Name())
+      .Address(aCallContext.queue.Address())
+      .Service(aCallContext.queue.Service())
+      .Team(aCallContext.team)
+      .DataCentre(this->dataCentre)
+      .Priority(aCallContext.queue.Priority())
+      .MaxAttempts(aCallContext.queue.MaxAttempts())
+      .Stretch(aCallContext.queue.Stretch())
+      .Allowance(aCallContext.queue.Allowance())
+      .Admitted(WallNow())
+      .Plan(aPlan)
+      .Build(ignored)
+      .value_or(AdmittedJob());
+  }
+
   /** Transaction that stores a new job and its progress, on condition that the
    * job does not exist yet, was not cancelled, and neither the configuration
    * nor the usage has changed. */
-  TableTransaction MakeAdmission(const JobPlan& aPlan,
+  TableTransaction MakeAdmission(const AdmittedJob& aJob,
                                  const CallContext& aCallContext) const
   {
-    Reason ignored; // The call context has a queue and a job's key.
-    const auto now = WallNow();
-    const auto job = AdmittedJobBuilder()
-                       .Key(aCallContext.job)
-                       .Queue(aCallContext.queue.Name())
-                       .Address(aCallContext.queue.Address())
-                       .Service(aCallContext.queue.Service())
-                       .Team(aCallContext.team)
-                       .DataCentre(this->dataCentre)
-                       .Priority(aCallContext.queue.Priority())
-                       .MaxAttempts(aCallContext.queue.MaxAttempts())
-                       .Stretch(aCallContext.queue.Stretch())
-                       .Allowance(aCallContext.queue.Allowance())
-                       .Admitted(now)
-                       .Plan(aPlan)
-                       .Build(ignored);
+    Reason ignored; // The call context has a queue.
     const auto progress = JobProgressBuilder()
                             .Queue(aCallContext.queue.Name())
                             .Address(aCallContext.queue.Address())
@@ -401,8 +445,11 @@
              Schema::CatalogKey(),
              aCallContext.catalogRevision);
     AddCheck(checks, kDomainTable, kUsageRow, this->usage.Revision());
+    if (this->isRefusingForBacklog) {
+      AddCheck(checks, kDomainTable, kBacklogRow, this->backlog.Revision());
+    }
     AddWrite(
-      writes, kJobTable, aCallContext.job.Text(), EncodeAdmittedJob(*job));
+      writes, kJobTable, aCallContext.job.Text(), EncodeAdmittedJob(aJob));
     AddWrite(writes,
              kProgressTable,
              aCallContext.job.Text(),
@@ -651,7 +698,9 @@
   DomainMetrics* metrics;
   StoreHealth storeHealth;
   KnownUsage usage;
+  KnownBacklog backlog;
   DataCentreName dataCentre;
+  bool isRefusingForBacklog = false;
   Milliseconds maxConfirmationAge;
   Instant answerBy = Instant::max();
   CatalogCallback onCatalogRow;
--- a/scheduling/domain_maintenance.h
+++ b/scheduling/domain_maintenance.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "codecs/domain_backlog_json.h"
 #include "codecs/domain_usage_json.h"
 #include "codecs/pending_json.h"
+#include "contracts/domain_backlog_builder.h"
 #include "contracts/domain_usage.h"
 #include "core/reason.h"
 #include "links/row_store.h"
@@ -9,7 +11,9 @@
 #include "scheduling/store_rows.h"
 #include "zones/domain_state.h"
 #include "zones/job_intake.h"
+#include "zones/refusals/backlog_estimate.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <optional>
 #include <string>
@@ -46,6 +50,41 @@
     }
   }
 
+  /** Stores how long the open jobs keep the workers busy: when it has changed,
+   * and again from time to time while there is a backlog, so that hosts see
+   * that it still holds. A failed write is repeated. */
+  boost::asio::awaitable<void> PublishBacklog()
+  {
+    DomainBacklog::Waits published;
+    std::int64_t number = 0;
+    Instant storedAt{};
+    while (this->term->IsActive()) {
+      const Instant now = Clock::now();
+      DomainBacklog::Waits waits =
+        PublishedBacklog(EstimateBacklog(this->term->Domain(), now));
+      const bool isDue =
+        waits != published ||
+        (!waits.empty() && now >= storedAt + kBacklogRepetition);
+      if (isDue) {
+        Reason ignored; // No wait is negative.
+        const auto backlog =
+          DomainBacklogBuilder().Waits(waits).Number(++number).Build(ignored);
+        std::string value = EncodeDomainBacklog(*backlog);
+        const bool isStored =
+          co_await this->Store(kBacklogRow, std::move(value));
+        if (isStored) {
+          EventLine("backlog_stored")
+            .Field("longest_ms", LongestOf(waits).count())
+            .Field("number", number)
+            .Emit();
+          published = std::move(waits);
+          storedAt = now;
+        }
+      }
+      co_await this->term->PauseFor(kBacklogInterval);
+    }
+  }
+
   /** Stores the memory that the accepted jobs take when it has changed; a
    * failed write is logged and repeated. */
   boost::asio::awaitable<void> PublishUsage()
@@ -73,9 +112,21 @@
 
 private:
   static constexpr Milliseconds kPendingInterval{ 500 };
+  static constexpr Milliseconds kBacklogInterval{ 500 };
+  /** A host refuses nothing by a statement that may be over 5 s old. */
+  static constexpr Milliseconds kBacklogRepetition{ 2000 };
   /** Hosts take jobs by the stored usage, so it is stored soon. */
   static constexpr Milliseconds kUsageInterval{ 100 };
 
+  static Milliseconds LongestOf(const DomainBacklog::Waits& aWaits)
+  {
+    Milliseconds longest{ 0 };
+    for (const auto& [key, wait] : aWaits) {
+      longest = std::max(longest, wait);
+    }
+    return longest;
+  }
+
   /** The usage that an earlier holder stored; none of it if the store has no
    * row. Empty when the read failed. */
   boost::asio::awaitable<std::optional<DomainUsage>> ReadUsage()
--- a/scheduling/domain_metrics.cpp
+++ b/scheduling/domain_metrics.cpp
@@ -22,11 +22,11 @@
 
 constexpr int kCalls = static_cast<int>(JobCall::Kind::kOther) + 1;
 constexpr int kReplies = static_cast<int>(JobReply::Kind::kNotKnown) + 1;
-constexpr std::array<std::string_view, 13> kEvents{
-  "takeovers",          "domain_losses", "starts",      "starts_refused",
-  "starts_unanswered",  "stops",         "preemptions", "looks_failed",
-  "store_calls_failed", "runs_done",     "runs_failed", "runs_lost",
-  "jobs_not_loaded"
+constexpr std::array<std::string_view, 14> kEvents{
+  "takeovers",          "domain_losses",   "starts",      "starts_refused",
+  "starts_unanswered",  "stops",           "preemptions", "looks_failed",
+  "store_calls_failed", "runs_done",       "runs_failed", "runs_lost",
+  "jobs_not_loaded",    "backlog_refusals"
 };
 /** Higher priorities are counted with the last one. */
 constexpr int kPriorities = 4;
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -33,7 +33,9 @@
     kRunFailed,
     kRunLost,
     /** A stored job that this version cannot load. */
-    kJobNotLoaded
+    kJobNotLoaded,
+    /** A job that was refused because it could not be done in time. */
+    kBacklogRefusal
   };
 
   /** Event as which the outcome of a run is counted. */
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -43,6 +43,9 @@
  * first time. Each admission depends on its revision, so it is never deleted: a
  * late admission that requires its absence would take effect after all. */
 inline const std::string kUsageRow = "usage";
+/** How long the open jobs keep the workers busy; absent until that is long for
+ * the first time. Like the row above it is never deleted. */
+inline const std::string kBacklogRow = "backlog";
 
 /** Key of the row in kJobTable that marks aJob as cancelled. */
 std::string
--- a/tests/scheduling/domain_job_api_test.cpp
+++ b/tests/scheduling/domain_job_api_test.cpp
@@ -1,7 +1,9 @@
 #include "scheduling/domain_job_api.h"
 
 #include "codecs/admitted_job_json.h"
+#include "codecs/domain_backlog_json.h"
 #include "codecs/domain_usage_json.h"
+#include "contracts/domain_backlog_builder.h"
 #include "contracts/domain_usage_builder.h"
 #include "contracts/job_queue_builder.h"
 #include "contracts/service_catalog_builder.h"
@@ -21,12 +23,18 @@
 
 constexpr const char* kPath = "/one/0123456789abcdef";
 constexpr const char* kJob = "0123456789abcdef";
+constexpr Milliseconds kBacklogWait{ 60'000 };
+
+using JobApi = DomainJobApi<FakeRowStore, platform::Schema>;
 
 std::string
-RouteText(const std::string& aName, const std::string& aPathPrefix)
+RouteText(const std::string& aName,
+          const std::string& aPathPrefix,
+          int aPriority = 0)
 {
   return R"({"Name":")" + aName + R"(","Host":"a","PathPrefix":")" +
-         aPathPrefix + R"(","Service":"s1"})";
+         aPathPrefix + R"(","Service":"s1","Priority":)" +
+         std::to_string(aPriority) + "}";
 }
 
 std::string
@@ -57,6 +65,9 @@
   CPPUNIT_TEST(RepeatedSubmitIsAcceptedWithoutRoom);
   CPPUNIT_TEST(UnsettledSubmitIsNotReportedAsNotRunWithoutRoom);
   CPPUNIT_TEST(JobIsAcceptedBesideUsageThatLeavesRoom);
+  CPPUNIT_TEST(JobBehindBacklogIsRefusedAndNotStored);
+  CPPUNIT_TEST(JobAcceptedBeforeBacklogIsNotRefused);
+  CPPUNIT_TEST(BacklogOfUnknownAgeRefusesNothing);
   CPPUNIT_TEST(KeyRevokedDuringSubmitStoresNothing);
   CPPUNIT_TEST(StaleConfirmationRefusesEveryCall);
   CPPUNIT_TEST(CancelIsVisibleAndStoredForHolder);
@@ -197,6 +208,33 @@
     CPPUNIT_ASSERT_EQUAL(2, this->store.commits);
   }
 
+  /** The host has admitted another job a moment before the backlog was stated,
+   * so it knows how old the statement is. */
+  void JobBehindBacklogIsRefusedAndNotStored()
+  {
+    const std::vector<JobReply> replies =
+      this->SubmitAroundBacklog("fedcba9876543210", kJob);
+    CPPUNIT_ASSERT(JobReply::Kind::kAccepted == replies.front().kind);
+    CPPUNIT_ASSERT(JobReply::Kind::kNotRun == replies.back().kind);
+    CPPUNIT_ASSERT(replies.back().retryAfter > Milliseconds(1000));
+    CPPUNIT_ASSERT(this->store.Find(kJobTable, kJob) == nullptr);
+    CPPUNIT_ASSERT_EQUAL(
+      std::uint64_t{ 1 },
+      this->metrics.CountOf(DomainMetrics::Event::kBacklogRefusal));
+  }
+
+  void JobAcceptedBeforeBacklogIsNotRefused()
+  {
+    CPPUNIT_ASSERT(JobReply::Kind::kAccepted ==
+                   this->SubmitAroundBacklog(kJob, kJob).back().kind);
+  }
+
+  void BacklogOfUnknownAgeRefusesNothing()
+  {
+    this->PutBacklog();
+    CPPUNIT_ASSERT(JobReply::Kind::kAccepted == this->Submit().kind);
+  }
+
   void KeyRevokedDuringSubmitStoresNothing()
   {
     this->store.beforeCommit = [this] {
@@ -389,6 +427,33 @@
       EncodeDomainUsage(Valid(DomainUsageBuilder().Bytes(aBytes))));
   }
 
+  void PutBacklog()
+  {
+    this->store.Put(kDomainTable,
+                    kBacklogRow,
+                    EncodeDomainBacklog(Valid(DomainBacklogBuilder().Waits(
+                      { { { ServiceName("s1"), 1 }, kBacklogWait } }))));
+  }
+
+  /** Submits two jobs to one host; a backlog is stated between them. */
+  std::vector<JobReply> SubmitAroundBacklog(const std::string& aFirst,
+                                            const std::string& aSecond)
+  {
+    this->Configure(
+      ConfigurationText(3, "\"k1\"", RouteText("r1", "/one/", 1)));
+    std::vector<JobReply> replies;
+    this->Run([&](JobApi& aApi) -> boost::asio::awaitable<void> {
+      for (const std::string& job : { aFirst, aSecond }) {
+        JobCall call = this->MakeCall(JobCall::Kind::kSubmit);
+        call.path = "/one/" + job;
+        const JobReply reply = co_await aApi.Answer(call);
+        replies.push_back(reply);
+        this->PutBacklog();
+      }
+    });
+    return replies;
+  }
+
   /** Stores a configuration and publishes it on this host. */
   void Configure(const std::string& aText)
   {
@@ -419,24 +484,31 @@
   }
 
   JobReply Serve(const JobCall& aCall, Instant aAnswerBy = Instant::max())
+  {
+    JobReply reply;
+    this->Run([&](JobApi& aApi) -> boost::asio::awaitable<void> {
+      aApi.AnswerBy(aAnswerBy);
+      reply = co_await aApi.Answer(aCall);
+    });
+    return reply;
+  }
+
+  /** Runs a coroutine with a host's job API to its end. */
+  template<typename Body>
+  void Run(Body aBody)
   {
     boost::asio::io_context context(1);
-    DomainJobApi<FakeRowStore, platform::Schema> jobApi(
-      context,
-      this->store,
-      this->currentCatalog,
-      this->metrics,
-      Milliseconds(5000),
-      [this](const TableRow&) { ++this->catalogRows; });
+    JobApi jobApi(context,
+                  this->store,
+                  this->currentCatalog,
+                  this->metrics,
+                  Milliseconds(5000),
+                  [this](const TableRow&) { ++this->catalogRows; });
     jobApi.SetDataCentre(DataCentreName("north"));
-    jobApi.AnswerBy(aAnswerBy);
-    JobReply reply;
-    boost::asio::co_spawn(context,
-                          jobApi.Answer(aCall),
-                          [&reply](const std::exception_ptr&,
-                                   const JobReply& aReply) { reply = aReply; });
+    jobApi.SetRefusingForBacklog(true);
+    boost::asio::co_spawn(
+      context, aBody(jobApi), [](const std::exception_ptr&) {});
     context.run();
-    return reply;
   }
 
   FakeRowStore store;
