Check that the time left of a leaving worker is read

Cause: the stated time decides which runs are given up, and no test read it. Change: DecodesWorkerEntry reads an entry with it.

--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -119,7 +119,8 @@
     Reason reason;
     const auto worker = DecodeWorkerListing(
       Row("i-1", R"({"Service":"s1","Addr":"10.0.0.1:8080","Zone":"a",
-        "State":"draining","Capacity":{"Cpu":64000,"MemMb":131072,"Gpu":8},
+        "State":"draining","RemainingMs":1700,
+        "Capacity":{"Cpu":64000,"MemMb":131072,"Gpu":8},
         "Labels":["a","r1-2"]})"),
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), worker.has_value());
@@ -127,6 +128,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("r1-2"), worker->Rack().Text());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 8 }, worker->Capacity().Accelerators());
     CPPUNIT_ASSERT(worker->IsLeaving());
+    CPPUNIT_ASSERT(Milliseconds(1700) == worker->TimeLeft());
   }
 
   void InvalidWorkerEntryIsRefused()
