--- a/daemon/caller_thread.cpp
+++ b/daemon/caller_thread.cpp
@@ -28,6 +28,7 @@
 {
   this->jobApi.ChargeTo(aLoad);
   this->jobApi.SetDataCentre(aHost.DataCentre());
+  this->jobApi.SetRefusingForBacklog(aHost.Policy().IsRoomShared());
 }
 
 CallerThread::~CallerThread()
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -134,6 +134,9 @@
     if (this->policy.IsPaceUsed()) {
       this->Spawn([this] { return this->maintenance.PublishPaces(); });
     }
+    if (this->policy.IsRoomShared()) {
+      this->Spawn([this] { return this->maintenance.PublishBacklog(); });
+    }
     this->Spawn([this] { return this->PassPeriodically(); });
     this->Spawn([this] { return this->archive.ArchiveEndedJobs(); });
     this->Spawn([this] { return this->archive.DeleteOldEntries(); });
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -41,7 +41,9 @@
     kPaceChanged,
     /** A pair of kinds of work that was found to disturb each other, or not to
      * any more. */
-    kDisturbanceChanged
+    kDisturbanceChanged,
+    /** A job that was refused because it could not be done in time. */
+    kBacklogRefusal
   };
 
   /** Event as which the outcome of a run is counted. */
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -43,6 +43,9 @@
  * first time. Each admission depends on its revision, so it is never deleted: a
  * late admission that requires its absence would take effect after all. */
 inline const std::string kUsageRow = "usage";
+/** How long the open jobs keep the workers busy; absent until that is long for
+ * the first time. Like the row above it is never deleted. */
+inline const std::string kBacklogRow = "backlog";
 /** Measured paces of workers, for the next holder. It may be absent or old:
  * paces of other lives of workers match none. */
 inline const std::string kPaceRow = "pace";
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -122,7 +122,8 @@
     Reason reason;
     const auto worker = DecodeWorkerListing(
       Row("i-1", R"({"Service":"s1","Addr":"10.0.0.1:8080","Zone":"a",
-        "State":"draining","Capacity":{"Cpu":64000,"MemMb":131072,"Gpu":8},
+        "State":"draining","RemainingMs":1700,
+        "Capacity":{"Cpu":64000,"MemMb":131072,"Gpu":8},
         "Labels":["a","r1-2"],"ColdLeftMs":2500})"),
       reason);
     CPPUNIT_ASSERT_MESSAGE(reason.Message(), worker.has_value());
@@ -132,6 +133,7 @@
     CPPUNIT_ASSERT(worker->IsLeaving());
     CPPUNIT_ASSERT(Milliseconds(2500) == worker->ColdLeft());
     CPPUNIT_ASSERT_EQUAL(std::string("a"), worker->DataCentre().Text());
+    CPPUNIT_ASSERT(Milliseconds(1700) == worker->TimeLeft());
   }
 
   void InvalidWorkerEntryIsRefused()
