Measure remote runs that an earlier holder started as remote

Change: for such runs it is derived from the racks of their members. Tests of this commit were not run.

--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -608,13 +608,35 @@
   }
 }
 
+/** That a run is remote is not stored, so it is derived from the racks of a run
+ * that an earlier holder started. */
+bool
+DomainState::IsRemote(const TrackedJob& aJob, const TaskUnit& aUnit) const
+{
+  if (!aUnit.IsInherited()) {
+    return aUnit.IsRemote();
+  }
+  const JobStep& step = aJob.StepOf(aUnit);
+  std::set<RackName> racks;
+  for (const MemberRun& member : aUnit.Members()) {
+    const auto worker = this->workers.find(member.worker);
+    if (worker != this->workers.end()) {
+      racks.insert(worker->second.Listing().Rack());
+    }
+  }
+  const bool isOffDataRack =
+    !step.DataRack().Empty() && !racks.contains(step.DataRack());
+  return isOffDataRack || (step.PrefersOneRack() && racks.size() > 1);
+}
+
 MeasuredRun
 DomainState::MeasuredRunOf(const TrackedJob& aJob,
                            const TaskUnit& aUnit,
                            std::int32_t aIndex) const
 {
   const JobStep& step = aJob.StepOf(aUnit);
-  const double factor = aUnit.IsRemote() ? this->timing.RemoteSlowdown() : 1.0;
+  const double factor =
+    this->IsRemote(aJob, aUnit) ? this->timing.RemoteSlowdown() : 1.0;
   MeasuredRun run;
   run.step = CombineHashes(std::hash<JobKey>()(aJob.Job().Key()),
                            static_cast<std::uint64_t>(aUnit.Step()));
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -240,6 +240,7 @@
   /** Records what runs beside what on the worker. */
   void NoteNeighbours(const TrackedWorker& aWorker,
                       const WorkerReport& aReport);
+  bool IsRemote(const TrackedJob& aJob, const TaskUnit& aUnit) const;
   MeasuredRun MeasuredRunOf(const TrackedJob& aJob,
                             const TaskUnit& aUnit,
                             std::int32_t aIndex) const;
