--- a/zones/locality/few_data_centres.cpp
+++ b/zones/locality/few_data_centres.cpp
@@ -73,7 +73,11 @@
   for (const auto& [name, workers] : dataCentres) {
     byRoom.emplace_back(TasksThatFit(workers, aRequest), &workers);
   }
-  std::sort(byRoom.begin(), byRoom.end());
+  // Those of equal room stay in the order of their names.
+  std::stable_sort(
+    byRoom.begin(), byRoom.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
   // The fullest data centre in which the gang fits leaves the others to wider
   // gangs. A gang that fits into none starts with the emptiest.
   const auto fits = std::find_if(
