--- a/tests/scheduling/shared_room_test.cpp
+++ b/tests/scheduling/shared_room_test.cpp
@@ -63,6 +63,7 @@
   }
   std::sort(jobs.begin(), jobs.end());
   std::vector<std::string> keys;
+  keys.reserve(jobs.size());
   for (const auto& [isBeyond, position, key] : jobs) {
     keys.push_back(key);
   }
--- a/tests/zones/refusals/refusal_decision_test.cpp
+++ b/tests/zones/refusals/refusal_decision_test.cpp
@@ -71,6 +71,7 @@
   {
     constexpr int kCallers = 200;
     std::vector<Milliseconds> returns;
+    returns.reserve(kCallers);
     for (int caller = 0; caller < kCallers; ++caller) {
       returns.push_back(*RetryAfterBacklog(
         MakeJob(1, "job-" + std::to_string(caller)), MakeBacklog(kLong)));
--- a/zones/locality/few_data_centres.cpp
+++ b/zones/locality/few_data_centres.cpp
@@ -70,6 +70,7 @@
   }
   std::vector<std::pair<std::int64_t, const std::vector<CandidateWorker>*>>
     byRoom;
+  byRoom.reserve(dataCentres.size());
   for (const auto& [name, workers] : dataCentres) {
     byRoom.emplace_back(TasksThatFit(workers, aRequest), &workers);
   }
