Await a job whose cancel was refused

Cause: OpenCallers took every cancel for done, also one answered 503.

Change: a job whose cancel was refused counts as one that nobody cancelled: it must be completed, and may never be shown as cancelled. One whose cancel was not answered is awaited too, and must be completed or cancelled; it was not checked before. Nothing is checked less.

--- a/tests/soak/domain_soak.cpp
+++ b/tests/soak/domain_soak.cpp
@@ -95,7 +95,8 @@
     std::set<std::string> pending;
     for (const SoakJob& job : this->jobs) {
       if (job.outcome == Outcome::kAccepted ||
-          job.outcome == Outcome::kUnknown) {
+          job.outcome == Outcome::kUnknown ||
+          job.outcome == Outcome::kMaybeCancelled) {
         pending.insert(job.key);
       }
     }
@@ -113,7 +114,8 @@
     const bool isFound = state != "unknown";
     const bool isDone = state == "completed";
     const bool isExpected = (aJob.outcome == Outcome::kAccepted && isDone) ||
-                            (aJob.outcome == Outcome::kCancelled &&
+                            ((aJob.outcome == Outcome::kCancelled ||
+                              aJob.outcome == Outcome::kMaybeCancelled) &&
                              (isDone || state == "cancelled")) ||
                             (aJob.outcome == Outcome::kRefused && !isFound) ||
                             (aJob.outcome == Outcome::kUnknown &&
@@ -220,10 +222,7 @@
     violations.end(), stallingViolations.begin(), stallingViolations.end());
   violations.insert(
     violations.end(), work.Violations().begin(), work.Violations().end());
-  std::vector<SoakJob> jobs;
-  for (const std::string& key : callers.AcceptedJobs()) {
-    jobs.push_back(SoakJob{ key, Outcome::kAccepted, Clock::now() });
-  }
+  const std::vector<SoakJob> jobs = callers.AcceptedJobs();
   const bool isSettled = SoakCheck(site, jobs).Holds();
   for (const std::string& violation : violations) {
     std::cerr << "violation: " << violation << '\n';
--- a/tests/soak/open_callers.cpp
+++ b/tests/soak/open_callers.cpp
@@ -30,6 +30,8 @@
 constexpr Milliseconds kVisibleTime{ 3000 };
 constexpr int kOk = 200;
 constexpr int kNoJob = 410;
+/** The job goes on as if nobody had cancelled it. */
+constexpr int kNotCancelled = 503;
 constexpr int kUnknownKey = 401;
 constexpr int kNoQueue = 404;
 
@@ -80,18 +82,18 @@
   return this->violations;
 }
 
-std::vector<std::string>
+std::vector<SoakJob>
 OpenCallers::AcceptedJobs() const
 {
-  std::vector<std::string> keys;
+  std::vector<SoakJob> accepted;
   for (const std::unique_ptr<Caller>& caller : this->callers) {
     for (const auto& [key, job] : caller->jobs) {
-      if (!job.isCancelled) {
-        keys.push_back(key);
+      if (job.outcome != SoakJob::Outcome::kCancelled) {
+        accepted.push_back(SoakJob{ key, job.outcome, Clock::now() });
       }
     }
   }
-  return keys;
+  return accepted;
 }
 
 void
@@ -153,9 +155,11 @@
   }
   const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
   const std::string state = answer.is_object() ? answer.value("State", "") : "";
-  const bool isWrong = state == "failed" ||
-                       (state == "cancelled" && !chosen->second.isCancelled) ||
-                       state.empty();
+  const bool isWrong =
+    state == "failed" ||
+    (state == "cancelled" &&
+     chosen->second.outcome == SoakJob::Outcome::kAccepted) ||
+    state.empty();
   if (isWrong) {
     this->AddViolation(chosen->first + " is shown as \"" + state + "\"");
   }
@@ -168,11 +172,15 @@
     return;
   }
   auto& [key, job] = *std::prev(aCaller.jobs.end());
-  // Also without an answer the job may be cancelled.
-  job.isCancelled = true;
   std::string body;
   const int status =
     this->Send(aCaller, "DELETE", SiteDeployment::PathOf(key), body);
+  if (status == kOk) {
+    job.outcome = SoakJob::Outcome::kCancelled;
+  } else if (status != kNotCancelled &&
+             job.outcome != SoakJob::Outcome::kCancelled) {
+    job.outcome = SoakJob::Outcome::kMaybeCancelled;
+  }
   if (status == kNoJob) {
     this->AddViolation("accepted job " + key + " was unknown to a cancel");
   }
--- a/tests/soak/open_callers.h
+++ b/tests/soak/open_callers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/instant.h"
+#include "tests/soak/soak_job.h"
 
 #include <atomic>
 #include <cstddef>
@@ -42,8 +43,9 @@
   void Stop();
   /** Broken rules so far, a sentence each. */
   std::vector<std::string> Violations() const;
-  /** Keys of the accepted jobs that nobody has cancelled. */
-  std::vector<std::string> AcceptedJobs() const;
+  /** The accepted jobs whose cancellation was not acknowledged: nobody has
+   * cancelled them, or it was refused or not answered. */
+  std::vector<SoakJob> AcceptedJobs() const;
   std::int64_t Calls() const { return this->calls; }
   /** Calls whose connection ended without an answer. */
   std::int64_t Unanswered() const { return this->unanswered; }
@@ -52,7 +54,8 @@
   struct AcceptedJob
   {
     Instant acceptedAt;
-    bool isCancelled = false;
+    /** kAccepted, kCancelled or kMaybeCancelled. */
+    SoakJob::Outcome outcome = SoakJob::Outcome::kAccepted;
   };
   /** The jobs and connections of one caller. */
   struct Caller
--- a/tests/soak/soak_job.h
+++ b/tests/soak/soak_job.h
@@ -19,7 +19,9 @@
     /** Every answer was that it has not run. */
     kRefused,
     /** Its cancellation was acknowledged. */
-    kCancelled
+    kCancelled,
+    /** It was accepted, and a cancellation got no definite answer. */
+    kMaybeCancelled
   };
 
   std::string key;
