--- a/codecs/caller_limits_yaml.cpp
+++ b/codecs/caller_limits_yaml.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr std::int64_t kBytesPerKb = 1024;
-constexpr std::int64_t kBytesPerMb = 1024 * 1024;
+constexpr std::int64_t kBytesPerMb = kBytesPerKb * kBytesPerKb;
 constexpr std::int64_t kMinMemoryMb = 16;
 constexpr std::int64_t kMaxMemoryMb = 1 << 20;
 /** The accepted jobs, the workers and the program itself need the rest. */
