--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -47,7 +47,7 @@
  * the first time. Like the row above it is never deleted. */
 inline const std::string kBacklogRow = "backlog";
 /** Measured paces of workers, for the next holder. It may be absent or old:
- * paces of other lives of workers match none. */
+ * paces of other incarnations match none. */
 inline const std::string kPaceRow = "pace";
 /** By when every lease on each unreachable worker has expired. The next holder
  * relies on it, so a worker is withdrawn from this row before it is granted a
--- a/tests/zones/pace/worker_paces_test.cpp
+++ b/tests/zones/pace/worker_paces_test.cpp
@@ -267,7 +267,7 @@
       workshop.RunStep(paces);
     }
     CPPUNIT_ASSERT(ClassIn(paces, "w100") == PaceClass::kSlow);
-    paces.BeginLife(kService, WorkerName("w100"), 2, workshop.Now());
+    paces.BeginIncarnation(kService, WorkerName("w100"), 2, workshop.Now());
     paces.Fit(workshop.Now() + WorkerPaces::kFitInterval);
     CPPUNIT_ASSERT(ClassIn(paces, "w100") == PaceClass::kDoubtful);
   }
@@ -277,7 +277,7 @@
     Workshop workshop(MakeWorkers(60, kUnlike));
     WorkerPaces earlier;
     for (const auto& [name, pace] : workshop.Truth()) {
-      earlier.BeginLife(kService, WorkerName(name), 1, workshop.Now());
+      earlier.BeginIncarnation(kService, WorkerName(name), 1, workshop.Now());
     }
     // The holder is at work before anything runs.
     earlier.Fit(workshop.Now());
@@ -286,9 +286,9 @@
     }
     WorkerPaces paces;
     for (const auto& [name, pace] : workshop.Truth()) {
-      paces.BeginLife(kService, WorkerName(name), 1, workshop.Now());
+      paces.BeginIncarnation(kService, WorkerName(name), 1, workshop.Now());
     }
-    paces.BeginLife(kService, WorkerName("w103"), 2, workshop.Now());
+    paces.BeginIncarnation(kService, WorkerName("w103"), 2, workshop.Now());
     paces.Load(earlier.Records(), workshop.Now());
     paces.Fit(workshop.Now());
     CPPUNIT_ASSERT(ClassIn(paces, "w103") == PaceClass::kDoubtful);
@@ -311,14 +311,14 @@
     WorkerPaces paces;
     const std::string busy = "w100";
     const MeasuredRun inherited{ 1, 1, kSizeMs, false, std::nullopt };
-    paces.BeginLife(kService, WorkerName(busy), 1, workshop.Now());
+    paces.BeginIncarnation(kService, WorkerName(busy), 1, workshop.Now());
     paces.NoteProgress(
       kService, WorkerName(busy), inherited, 10, 0, workshop.Now());
     paces.Load(records, workshop.Now());
     Instant now = workshop.Now();
     for (const auto& [name, pace] : workshop.Truth()) {
       if (name != busy) {
-        paces.BeginLife(kService, WorkerName(name), 1, now);
+        paces.BeginIncarnation(kService, WorkerName(name), 1, now);
       }
       now += WorkerPaces::kFitInterval;
       paces.Fit(now);
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -301,10 +301,10 @@
   this->paces.emplace();
   for (const auto& [name, worker] : this->workers) {
     if (worker.HasAnswered() && !worker.IsReplaced()) {
-      this->paces->BeginLife(worker.Listing().Service(),
-                             name,
-                             worker.Incarnation(),
-                             worker.LastReport());
+      this->paces->BeginIncarnation(worker.Listing().Service(),
+                                    name,
+                                    worker.Incarnation(),
+                                    worker.LastReport());
     }
   }
 }
@@ -525,7 +525,7 @@
                         this->timing.GrantedLease().count());
   }
   if ((isFirst || isRestarted) && this->paces) {
-    this->paces->BeginLife(
+    this->paces->BeginIncarnation(
       worker->Listing().Service(), aWorker, aReport.Incarnation(), aReceived);
   }
   std::vector<EndedTask> newEnds;
@@ -768,7 +768,7 @@
   if (TrackedWorker* worker = this->FindWorker(aWorker)) {
     worker->MarkReplaced();
     if (this->paces) {
-      this->paces->EndLife(worker->Listing().Service(), aWorker);
+      this->paces->EndIncarnation(worker->Listing().Service(), aWorker);
     }
   }
 }
--- a/zones/pace/pace_history.h
+++ b/zones/pace/pace_history.h
@@ -41,7 +41,7 @@
    * after aRanMs. Its duration counts more than what the worker reported. */
   void NoteDone(const MeasuredRun& aRun, double aRanMs, Instant aNow);
   /** Records a pace, as a natural logarithm, that an earlier holder measured in
-   * this life of the worker. */
+   * this incarnation of the worker. */
   void NoteStored(double aLogPace, Instant aNow);
 
   const std::vector<Run>& Runs() const { return this->runs; }
--- a/zones/pace/pace_records.h
+++ b/zones/pace/pace_records.h
@@ -11,8 +11,8 @@
 namespace sardinecourse {
 
 /** Measured paces in the form in which a holder stores them for the next one.
- * Each belongs to one life of a worker, whose name and incarnation are kept as
- * a fingerprint; an entry of another life matches no worker. */
+ * Each belongs to one incarnation of a worker, which is kept, with its name, as
+ * a fingerprint; an entry of another incarnation matches no worker. */
 class PaceRecords
 {
 public:
@@ -29,7 +29,7 @@
   void Add(const WorkerName& aWorker,
            std::int64_t aIncarnation,
            double aLogPace);
-  /** The pace's natural logarithm; empty for another life of the worker. */
+  /** The pace's natural logarithm; empty for another incarnation. */
   std::optional<double> Find(const WorkerName& aWorker,
                              std::int64_t aIncarnation) const;
 
--- a/zones/pace/worker_paces.cpp
+++ b/zones/pace/worker_paces.cpp
@@ -59,10 +59,10 @@
 }
 
 void
-WorkerPaces::BeginLife(const ServiceName& aService,
-                       const WorkerName& aWorker,
-                       std::int64_t aIncarnation,
-                       Instant aNow)
+WorkerPaces::BeginIncarnation(const ServiceName& aService,
+                              const WorkerName& aWorker,
+                              std::int64_t aIncarnation,
+                              Instant aNow)
 {
   Service& service = this->services[aService];
   Entry& entry = service.workers[aWorker];
@@ -74,7 +74,8 @@
 }
 
 void
-WorkerPaces::EndLife(const ServiceName& aService, const WorkerName& aWorker)
+WorkerPaces::EndIncarnation(const ServiceName& aService,
+                            const WorkerName& aWorker)
 {
   const auto service = this->services.find(aService);
   if (service != this->services.end()) {
--- a/zones/pace/worker_paces.h
+++ b/zones/pace/worker_paces.h
@@ -21,14 +21,15 @@
 class WorkerPaces
 {
 public:
-  /** Records that a life of the worker begins, or that this holder has found it
-   * begun. Nothing is known of its pace, unless an earlier holder stored it. */
-  void BeginLife(const ServiceName& aService,
-                 const WorkerName& aWorker,
-                 std::int64_t aIncarnation,
-                 Instant aNow);
-  /** Records that the life of the worker has ended. */
-  void EndLife(const ServiceName& aService, const WorkerName& aWorker);
+  /** Records that an incarnation of the worker begins, or that this holder has
+   * found it begun. Nothing is known of its pace, unless an earlier holder
+   * stored it. */
+  void BeginIncarnation(const ServiceName& aService,
+                        const WorkerName& aWorker,
+                        std::int64_t aIncarnation,
+                        Instant aNow);
+  /** Records that the incarnation of the worker has ended. */
+  void EndIncarnation(const ServiceName& aService, const WorkerName& aWorker);
 
   void NoteProgress(const ServiceName& aService,
                     const WorkerName& aWorker,
