Mend four lint findings

Cause: clang-tidy refused an emptiness check, a widening product, a parameter's name and a loop without a reserved vector. Change: these lines only; values and bounds as before.

--- a/daemon/caller_load_watch.cpp
+++ b/daemon/caller_load_watch.cpp
@@ -35,7 +35,7 @@
     co_await timer.async_wait(
       boost::asio::redirect_error(boost::asio::use_awaitable, error));
     const Counts refusals = this->NewRefusals();
-    if (refusals != Counts()) {
+    if (!refusals.empty()) {
       this->report(refusals);
     }
   }
--- a/tests/history/caller_limits_test.cpp
+++ b/tests/history/caller_limits_test.cpp
@@ -231,7 +231,7 @@
     crowd.Send(
       PostJob(site, "k1", R"({"Steps":[)" + Repeated("{},", 300) + R"({}]})"));
     site.StoreLink(0).Set(RelayMode::kForward);
-    this->Check(site, 3 * 400);
+    this->Check(site, std::int64_t{ 3 } * 400);
   }
 
   void RequestsBehindOneThatWaits()
--- a/tests/scheduling/lease_bound_test.cpp
+++ b/tests/scheduling/lease_bound_test.cpp
@@ -44,11 +44,11 @@
 WaitThroughTakeovers(DomainWorld& aWorld,
                      int aTakeovers,
                      std::int64_t aSpanMs,
-                     bool areReleased,
+                     bool aAreReleased,
                      std::int64_t aSinceMs)
 {
   for (int takeover = 0; takeover < aTakeovers; ++takeover) {
-    aWorld.TakeOver(areReleased);
+    aWorld.TakeOver(aAreReleased);
     for (std::int64_t passed = 0; passed < aSpanMs && aWorld.site.Starts() < 2;
          passed += kIntervalMs) {
       Run(aWorld, kIntervalMs);
--- a/tests/zones/pace/paced_place_search_test.cpp
+++ b/tests/zones/pace/paced_place_search_test.cpp
@@ -188,7 +188,9 @@
   void WorkersOfLikePaceAreFilledAsWithoutPreference()
   {
     std::vector<CandidateWorker> workers;
-    for (int worker = 0; worker < 40; ++worker) {
+    constexpr int kWorkers = 40;
+    workers.reserve(kWorkers);
+    for (int worker = 0; worker < kWorkers; ++worker) {
       workers.push_back(MakeCandidate("w" + std::to_string(worker),
                                       "r" + std::to_string(worker / 8),
                                       kTypical,
