--- a/daemon/caller_load_watch.cpp
+++ b/daemon/caller_load_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "machines/caller_load.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -35,7 +36,9 @@
     co_await timer.async_wait(
       boost::asio::redirect_error(boost::asio::use_awaitable, error));
     const Counts refusals = this->NewRefusals();
-    if (!refusals.empty()) {
+    const bool areAnyNew = std::any_of(
+      refusals.begin(), refusals.end(), [](auto aCount) { return aCount > 0; });
+    if (areAnyNew) {
       this->report(refusals);
     }
   }
