Run the random histories of a domain as tests of their own

Cause: scheduling_tests ran them with all other fixtures and again alone; with the histories of evacuations that exceeded the timeout of 120 s under the address sanitizer (timed out once; DomainFuzzTest alone 118 s). Change: the program's test leaves that fixture out, and each of its two kinds of histories is a test.

--- a/tests/unit_test_main.cpp
+++ b/tests/unit_test_main.cpp
@@ -5,17 +5,45 @@
 #include <cppunit/extensions/TestFactoryRegistry.h>
 #include <cppunit/ui/text/TestRunner.h>
 #include <iostream>
+#include <string>
 
-/** Runs all linked tests, or the fixture named by the first argument. */
+namespace {
+
+/** Adds all linked fixtures but the one that is named. */
+void
+AddAllBut(const std::string& aName, CppUnit::TextUi::TestRunner& aRunner)
+{
+  // The runner deletes the fixtures that are added, so their list is kept.
+  static const CppUnit::Test* const all =
+    CppUnit::TestFactoryRegistry::getRegistry().makeTest();
+  for (int child = 0; child < all->getChildTestCount(); ++child) {
+    CppUnit::Test* const fixture = all->getChildTestAt(child);
+    if (fixture->getName() != aName) {
+      aRunner.addTest(fixture);
+    }
+  }
+}
+
+}
+
+/** Runs all linked tests, or the fixture or test named by the first argument,
+ * or with "--without" all fixtures but the one named by the second. */
 int
 main(int aCount, char** aArguments)
 {
   const sardinecourse::RcuThread rcuThread;
   CppUnit::TextUi::TestRunner runner;
-  runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  const bool isWithout =
+    aCount > 2 && std::string(aArguments[1]) == "--without";
+  if (isWithout) {
+    AddAllBut(aArguments[2], runner);
+  } else {
+    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  }
   runner.setOutputter(
     new CppUnit::CompilerOutputter(&runner.result(), std::cerr));
-  const bool hasPassed = runner.run(aCount > 1 ? aArguments[1] : "");
+  const bool hasPassed =
+    runner.run(aCount > 1 && !isWithout ? aArguments[1] : "");
   // A program into which no fixture was linked must not count as passed.
   return hasPassed && runner.result().runTests() > 0 ? 0 : 1;
 }
