review: show a task that runs twice after its worker restarted

A start that was held up and is carried out by a worker that has restarted brings a deadline on the old clock, so the worker shortens its lease to HoldMaxMs (10 s). The holder counts 6 s from the restart.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,5 +5,5 @@
 mkdir -p review/bin-3
 for case in review/cases_3/*_case.cpp; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "review/bin-3/$(basename "$case" .cpp)" \
-    "$case" review/cases_3/site.cpp review/cases_3/loopback_http.cpp
+    "$case" review/cases_3/{client,site,loopback_http}.cpp
 done
--- a/review/cases_3/loopback_http.cpp
+++ b/review/cases_3/loopback_http.cpp
@@ -217,6 +217,9 @@
     request.method = line.substr(0, first);
     SetTarget(line.substr(first + 1, second - first - 1), request);
     const std::optional<Answer> answer = this->handler(request);
+    if (answer && answer->status == kClosed) {
+      break;
+    }
     if (!answer) {
       while (Receive(aSocket, buffer)) {
       }
--- a/review/cases_3/loopback_http.h
+++ b/review/cases_3/loopback_http.h
@@ -18,6 +18,9 @@
   std::string body;
 };
 
+/** Status of an answer that only closes the connection. */
+constexpr int kClosed = 0;
+
 struct Answer
 {
   int status = 0;
--- a/review/cases_3/site.cpp
+++ b/review/cases_3/site.cpp
@@ -30,6 +30,14 @@
 constexpr const char* kAlphabet =
   "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
+std::int64_t
+UnixMs()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 std::string
 EncodeValue(const std::string& aText)
 {
@@ -334,9 +342,7 @@
 Worker::Worker(std::string aId, const std::string& aIp, Record& aRecord)
   : id(std::move(aId))
   , record(&aRecord)
-  , born(std::chrono::duration_cast<std::chrono::milliseconds>(
-           std::chrono::system_clock::now().time_since_epoch())
-           .count())
+  , born(UnixMs())
 {
   this->server = std::make_unique<LoopbackServer>(
     aIp, [this](const Request& aRequest) { return this->Handle(aRequest); });
@@ -383,7 +389,7 @@
 void
 Worker::Advance()
 {
-  const std::int64_t now = NowMs();
+  const std::int64_t now = this->ClockMs();
   std::map<std::string, std::string> ending;
   for (const auto& [task, run] : this->runs) {
     if (now >= this->leaseUntilMs) {
@@ -397,6 +403,49 @@
   }
 }
 
+std::map<std::string, std::int64_t>
+Worker::Runs()
+{
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->Advance();
+  std::map<std::string, std::int64_t> numbers;
+  for (const auto& [task, run] : this->runs) {
+    numbers[task] = run.number;
+  }
+  return numbers;
+}
+
+void
+Worker::Cut(bool aIsCut)
+{
+  this->record->Add(this->id + (aIsCut ? " is cut off" : " is reached again"));
+  this->isCut = aIsCut;
+}
+
+void
+Worker::Restart()
+{
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  ++this->life;
+  this->token = 0;
+  this->leaseUntilMs = 0;
+  this->lastEnd = 0;
+  this->born = UnixMs();
+  this->clockOffsetMs = -NowMs();
+  this->runs.clear();
+  this->pastRuns.clear();
+  this->ends.clear();
+  this->record->Add(this->id + " has crashed and starts again");
+}
+
+void
+Worker::WaitWhileCut() const
+{
+  while (this->isCut) {
+    SleepMs(kPollMs);
+  }
+}
+
 std::optional<Answer>
 Worker::Handle(const Request& aRequest)
 {
@@ -405,20 +454,29 @@
   if (!body.is_object() || (!expected.empty() && expected != this->id)) {
     return JsonAnswer(kMisdirected, json::object());
   }
-  const std::int64_t until = NowMs() + body.value("WaitMs", std::int64_t{ 0 });
+  this->startOrders += aRequest.path == Wire("call_run_start") ? 1 : 0;
+  this->WaitWhileCut();
+  int servedLife = 0;
+  std::int64_t until = 0;
   {
     const std::lock_guard<std::mutex> lock(this->mutex);
     this->Advance();
+    servedLife = this->life;
+    until = this->ClockMs() + body.value("WaitMs", std::int64_t{ 0 });
     const Answer answer = this->Execute(aRequest, body);
     if (answer.status != kOk || aRequest.path != Wire("call_hold")) {
       return answer;
     }
   }
   while (true) {
+    this->WaitWhileCut();
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
       this->Advance();
-      if (!this->ends.empty() || NowMs() >= until) {
+      if (this->life != servedLife) {
+        return Answer{ kClosed, "" }; // The process that was asked is gone.
+      }
+      if (!this->ends.empty() || this->ClockMs() >= until) {
         return this->Report();
       }
     }
@@ -429,7 +487,7 @@
 Answer
 Worker::Execute(const Request& aRequest, const json& aBody)
 {
-  const std::int64_t now = NowMs();
+  const std::int64_t now = this->ClockMs();
   const auto refuse = [now](const char* aReason) {
     return JsonAnswer(kConflict,
                       { { Wire("clock_ms"), now }, { "Reason", aReason } });
@@ -485,7 +543,7 @@
 Worker::Report() const
 {
   constexpr std::int64_t kFullPercent = 100;
-  const std::int64_t now = NowMs();
+  const std::int64_t now = this->ClockMs();
   json running = json::array();
   for (const auto& [task, run] : this->runs) {
     const std::int64_t length =
--- a/review/cases_3/site.h
+++ b/review/cases_3/site.h
@@ -2,6 +2,7 @@
 
 #include "loopback_http.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -105,8 +106,20 @@
                        const std::string& aZone) const;
   /** Keys of the jobs of which a task has begun here. */
   std::set<std::string> StartedJobs() const;
+  /** Names and numbers of the runs that are there now. */
+  std::map<std::string, std::int64_t> Runs();
+  /** While cut off, nothing is answered. What arrives meanwhile is carried out
+   * when the cut ends. */
+  void Cut(bool aIsCut);
+  /** Crashes and starts again under the same id, with a new clock. */
+  void Restart();
+  /** Number of orders to start a task that have arrived. */
+  int StartOrders() const { return this->startOrders; }
 
 private:
+  /** The clock of a worker that has been up for a while. */
+  static constexpr std::int64_t kFirstClockMs = 400000;
+
   struct Run
   {
     std::int64_t number = 0;
@@ -117,6 +130,8 @@
 
   std::optional<Answer> Handle(const Request& aRequest);
   Answer Execute(const Request& aRequest, const nlohmann::json& aBody);
+  std::int64_t ClockMs() const { return NowMs() + this->clockOffsetMs; }
+  void WaitWhileCut() const;
   Answer Report() const;
   void Advance();
   void End(const std::string& aTask, const std::string& aOutcome);
@@ -128,6 +143,10 @@
   std::int64_t leaseUntilMs = 0;
   std::int64_t lastEnd = 0;
   std::int64_t born = 0;
+  std::int64_t clockOffsetMs = kFirstClockMs;
+  int life = 0;
+  std::atomic<bool> isCut{ false };
+  std::atomic<int> startOrders{ 0 };
   std::map<std::string, Run> runs;
   std::map<std::string, std::int64_t> pastRuns;
   std::vector<nlohmann::json> ends;
