review: show a lasting task without a run after its worker left

A worker drains and leaves, and the process that holds the domain is killed at that moment and is back after 1 s.

--- a/review/cases_3/client.cpp
+++ b/review/cases_3/client.cpp
@@ -41,15 +41,19 @@
 Client::Submit(const Daemon& aDaemon,
                const std::string& aJob,
                int aWorkMs,
-               int aAccelerators)
+               int aAccelerators,
+               bool aIsLasting)
 {
-  const json body = { { "Spec", std::to_string(aWorkMs) },
-                      { "Steps",
-                        { { { "Count", 1 },
-                            { "Cpu", 1000 },
-                            { "MemMb", 1024 },
-                            { "Gpu", aAccelerators },
-                            { Wire("estimate_ms"), aWorkMs } } } } };
+  json body = { { "Spec", std::to_string(aWorkMs) },
+                { "Steps",
+                  { { { "Count", 1 },
+                      { "Cpu", 1000 },
+                      { "MemMb", 1024 },
+                      { "Gpu", aAccelerators },
+                      { Wire("estimate_ms"), aWorkMs } } } } };
+  if (aIsLasting) {
+    body["Steps"][0]["LongRunning"] = true;
+  }
   const auto answer = Call(aDaemon.Front(),
                            "POST",
                            "/one/" + aJob,
--- a/review/cases_3/client.h
+++ b/review/cases_3/client.h
@@ -28,7 +28,8 @@
   bool Submit(const Daemon& aDaemon,
               const std::string& aJob,
               int aWorkMs,
-              int aAccelerators);
+              int aAccelerators,
+              bool aIsLasting = false);
 
   /** The number of pending jobs that a host gives; -1 without an answer. */
   int Pending(const Daemon& aDaemon);
--- a/review/cases_3/site.cpp
+++ b/review/cases_3/site.cpp
@@ -351,19 +351,25 @@
 json
 Worker::Entry(std::int64_t aAccelerators, const std::string& aZone) const
 {
-  return {
+  json entry = {
     { "Service", "s1" },
     { "Addr", this->Listen().Text() },
     { "Zone", aZone },
     { "Version", "v1" },
     { "Slots", 8 },
-    { "State", "ready" },
+    { "State", this->leavesAtMs > 0 ? "draining" : "ready" },
+
     { "Seq", 1 },
     { "born", this->born },
     { "Capacity",
       { { "Cpu", 64000 }, { "MemMb", 131072 }, { "Gpu", aAccelerators } } },
     { "Labels", { "a", "r1-1" } }
   };
+  if (this->leavesAtMs > 0) {
+    entry["RemainingMs"] =
+      std::max<std::int64_t>(this->leavesAtMs - NowMs(), 0);
+  }
+  return entry;
 }
 
 std::set<std::string>
@@ -438,6 +444,23 @@
   this->record->Add(this->id + " has crashed and starts again");
 }
 
+void
+Worker::Drain(std::int64_t aRemainingMs)
+{
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->leavesAtMs = NowMs() + aRemainingMs;
+  this->record->Add(this->id + " is draining");
+}
+
+void
+Worker::Leave()
+{
+  const std::lock_guard<std::mutex> lock(this->mutex);
+  this->isGone = true;
+  this->runs.clear();
+  this->record->Add(this->id + " has left");
+}
+
 void
 Worker::WaitWhileCut() const
 {
@@ -456,6 +479,9 @@
   }
   this->startOrders += aRequest.path == Wire("call_run_start") ? 1 : 0;
   this->WaitWhileCut();
+  if (this->isGone) {
+    return Answer{ kClosed, "" };
+  }
   int servedLife = 0;
   std::int64_t until = 0;
   {
@@ -473,7 +499,7 @@
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
       this->Advance();
-      if (this->life != servedLife) {
+      if (this->life != servedLife || this->isGone) {
         return Answer{ kClosed, "" }; // The process that was asked is gone.
       }
       if (!this->ends.empty() || this->ClockMs() >= until) {
@@ -627,6 +653,21 @@
   ::kill(this->process, aSignal);
 }
 
+std::int64_t
+Daemon::LastTakeoverMs() const
+{
+  std::int64_t takeover = 0;
+  std::istringstream lines(ReadFile(this->logPath));
+  for (std::string line; std::getline(lines, line);) {
+    const json event = json::parse(line, nullptr, false);
+    if (event.is_object() && event.value("event", "") == "domain_takeover" &&
+        event.value("committed", 0) == 1) {
+      takeover = event.value("at_ms", std::int64_t{ 0 });
+    }
+  }
+  return takeover;
+}
+
 bool
 Daemon::WaitUntilReady(int aTimeoutMs) const
 {
--- a/review/cases_3/site.h
+++ b/review/cases_3/site.h
@@ -113,6 +113,10 @@
   void Cut(bool aIsCut);
   /** Crashes and starts again under the same id, with a new clock. */
   void Restart();
+  /** Reports that it leaves, and by when. */
+  void Drain(std::int64_t aRemainingMs);
+  /** Leaves: its runs end, and it closes each connection. */
+  void Leave();
   /** Number of orders to start a task that have arrived. */
   int StartOrders() const { return this->startOrders; }
 
@@ -146,6 +150,8 @@
   std::int64_t clockOffsetMs = kFirstClockMs;
   int life = 0;
   std::atomic<bool> isCut{ false };
+  std::atomic<bool> isGone{ false };
+  std::int64_t leavesAtMs = 0;
   std::atomic<int> startOrders{ 0 };
   std::map<std::string, Run> runs;
   std::map<std::string, std::int64_t> pastRuns;
@@ -172,6 +178,9 @@
   const Address& Readiness() const { return this->readiness; }
   void Start();
   void Signal(int aSignal) const;
+  /** When the daemon last took the domain over, by its log; 0 if it never did.
+   */
+  std::int64_t LastTakeoverMs() const;
   /** Waits until the daemon reports itself ready; false after aTimeoutMs. */
   bool WaitUntilReady(int aTimeoutMs) const;
 
