Fence the orders to an earlier incarnation of a worker

Cause: a start that was sent on the clock of the former process is carried out by the new one, where its deadline lies far ahead, so the lease is the worker's own maximum (10 s). The holder took an order without an answer for one without an effect and counted 6 s from the report of the new process. Change: the fencing token is the term and a fence of the worker, raised after a failed poll or an unanswered start. An answer to a poll with a raised fence shows that no earlier order will be carried out; from that report the longest lease is counted if the worker has restarted, or is young and answers a new holder for the first time. Until then 12 s more are counted. Stored bounds count also where they are longer than the next holder's own. Metric: long_leases. The workers of the stand-ins have clocks that start with their process. Why it works: a late order either was carried out before that answer, and then its lease ends by the bound, or is refused.

--- a/contracts/domain_timing.h
+++ b/contracts/domain_timing.h
@@ -20,6 +20,10 @@
    * in time is never refused. */
   static constexpr Milliseconds kStartWindow{ 1500 };
 
+  /** Max time after which a worker carries out an order that it has not
+   * answered. */
+  static constexpr Milliseconds kMaxOrderDelay{ 12'000 };
+
   /** How long after a renewal the holder has the domain exclusively. */
   Milliseconds HolderLease() const { return this->holderLease; }
   /** Max lease that a worker grants to the runs on it. */
--- a/links/poll_request.h
+++ b/links/poll_request.h
@@ -11,8 +11,8 @@
  */
 struct PollRequest
 {
-  /** Fencing token of the holder. */
-  std::int64_t term = 0;
+  /** Number of the fencing token. */
+  std::int64_t token = 0;
   /** The worker removes ended runs up to this number from its list. */
   std::int64_t acknowledged = 0;
   /** When the renewed lease expires, in ms on the worker's clock; 0 if the
--- a/links/worker_orders.h
+++ b/links/worker_orders.h
@@ -19,8 +19,8 @@
 
 /** Orders of the holder of a scheduling domain to workers, which check fencing
  * tokens. The numbers of Start() are the time from which the worker refuses
- * the start, in ms on its own clock, and the term; the number of Stop() is the
- * term. */
+ * the start, in ms on its own clock, and the fencing token; the number of
+ * Stop() is the fencing token. */
 template<typename Link>
 concept WorkerOrders = requires(Link& aLink,
                                 const WorkerListing& aWorker,
--- a/scheduling/domain_metrics.cpp
+++ b/scheduling/domain_metrics.cpp
@@ -22,13 +22,13 @@
 
 constexpr int kCalls = static_cast<int>(JobCall::Kind::kOther) + 1;
 constexpr int kReplies = static_cast<int>(JobReply::Kind::kNotKnown) + 1;
-constexpr std::array<std::string_view, 17> kEvents{
+constexpr std::array<std::string_view, 18> kEvents{
   "takeovers",           "domain_losses",     "starts",
   "starts_refused",      "starts_unanswered", "stops",
   "preemptions",         "looks_failed",      "store_calls_failed",
   "runs_done",           "runs_failed",       "runs_lost",
   "jobs_not_loaded",     "starts_withheld",   "pace_changes",
-  "disturbance_changes", "backlog_refusals"
+  "disturbance_changes", "backlog_refusals",  "long_leases"
 };
 /** Higher priorities are counted with the last one. */
 constexpr int kPriorities = 4;
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -43,7 +43,10 @@
      * any more. */
     kDisturbanceChanged,
     /** A job that was refused because it could not be done in time. */
-    kBacklogRefusal
+    kBacklogRefusal,
+    /** A report after which the worker's lease may be longer than the granted
+     * one. */
+    kLongLease
   };
 
   /** Event as which the outcome of a run is counted. */
--- a/scheduling/domain_term.h
+++ b/scheduling/domain_term.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "contracts/domain_gain.h"
+#include "contracts/fencing_token.h"
 #include "core/instant.h"
 #include "core/reason.h"
 #include "links/row_store.h"
@@ -72,6 +73,12 @@
   Orders& Workers() { return *this->orders; }
   std::int64_t Number() const { return this->gain.term; }
   std::int64_t Revision() const { return this->gain.termRevision; }
+  /** Number of the fencing token of an order that is sent to the worker now. */
+  std::int64_t TokenFor(const WorkerName& aWorker) const
+  {
+    return FencingToken(this->gain.term, this->domain.FenceOf(aWorker))
+      .Number();
+  }
   /** See DomainOwner::BoundsKeptSince(). */
   std::int64_t BoundsKeptSince() const { return this->gain.boundsKeptSince; }
   DomainState& Domain() { return this->domain; }
@@ -144,6 +151,19 @@
     this->passTimer.cancel();
   }
 
+  /** Outcome of an order that carried aToken. A worker that has received a
+   * higher token of this term refuses the order, which is no sign of another
+   * holder. */
+  OrderOutcome OutcomeInTerm(const WorkerName& aWorker,
+                             std::int64_t aToken,
+                             OrderOutcome aOutcome) const
+  {
+    const bool isOutdated = aToken != this->TokenFor(aWorker);
+    return aOutcome == OrderOutcome::kFenced && isOutdated
+             ? OrderOutcome::kRefused
+             : aOutcome;
+  }
+
   /** If aOutcome shows that the worker was replaced, ends its runs in the
    * domain state and requests a pass, which places them on other workers. */
   void CheckReplaced(const WorkerName& aWorker, OrderOutcome aOutcome)
--- a/scheduling/order_sender.h
+++ b/scheduling/order_sender.h
@@ -79,12 +79,15 @@
       this->term->Domain().FindWorker(aStart.Worker())->Listing();
     const std::string payload =
       this->term->Domain().FindJob(aStart.Task().Job())->Job().Plan().Payload();
+    const std::int64_t token = this->term->TokenFor(aStart.Worker());
     Reason reason;
-    const OrderOutcome outcome = co_await this->term->Workers().Start(
-      listing, aStart, payload, *deadlineMs, this->term->Number(), reason);
+    const OrderOutcome answered = co_await this->term->Workers().Start(
+      listing, aStart, payload, *deadlineMs, token, reason);
     if (!this->term->IsActive()) {
       co_return;
     }
+    const OrderOutcome outcome =
+      this->term->OutcomeInTerm(aStart.Worker(), token, answered);
     LogStart(aStart, this->term->Number(), outcome, reason);
     this->ApplyStartOutcome(aStart, outcome, reason);
     if (outcome != OrderOutcome::kDone) {
@@ -138,12 +141,15 @@
       co_return;
     }
     const WorkerListing listing = worker->Listing();
+    const std::int64_t token = this->term->TokenFor(aStop.Worker());
     Reason reason;
-    const OrderOutcome outcome = co_await this->term->Workers().Stop(
-      listing, aStop, this->term->Number(), reason);
+    const OrderOutcome answered =
+      co_await this->term->Workers().Stop(listing, aStop, token, reason);
     if (!this->term->IsActive()) {
       co_return;
     }
+    const OrderOutcome outcome =
+      this->term->OutcomeInTerm(aStop.Worker(), token, answered);
     LogStop(aStop, this->term->Number(), outcome, reason);
     this->term->CheckReplaced(aStop.Worker(), outcome);
     if (outcome == OrderOutcome::kFenced) {
--- a/scheduling/worker_poller.h
+++ b/scheduling/worker_poller.h
@@ -94,6 +94,10 @@
 
   static Milliseconds WaitOn(const TrackedWorker& aWorker)
   {
+    // The next answer shows that no earlier order can be carried out any more.
+    if (aWorker.Fence().MayBeLate()) {
+      return Milliseconds(0);
+    }
     if (aWorker.Tasks().empty()) {
       return kIdlePollWait;
     }
@@ -107,7 +111,7 @@
     const WorkerListing listing = worker->Listing();
     const Instant sent = Clock::now();
     PollRequest request;
-    request.term = this->term->Number();
+    request.token = this->term->TokenFor(aWorker);
     request.acknowledged = aAcknowledged;
     request.leaseUntilMs = this->term->Domain().GrantLease(aWorker, sent);
     if (request.leaseUntilMs > 0) {
@@ -119,7 +123,9 @@
     if (!this->term->IsActive()) {
       co_return false;
     }
-    if (answer.outcome == OrderOutcome::kFenced) {
+    const OrderOutcome outcome =
+      this->term->OutcomeInTerm(aWorker, request.token, answer.outcome);
+    if (outcome == OrderOutcome::kFenced) {
       this->term->Deposed("look", reason);
       co_return false;
     }
@@ -132,11 +138,15 @@
         .Field("term", this->term->Number())
         .Field(reason)
         .Emit();
-      this->term->CheckReplaced(aWorker, answer.outcome);
+      this->term->CheckReplaced(aWorker, outcome);
       co_return false;
     }
+    const std::int64_t longLeases = this->term->Domain().LongLeases();
     const std::vector<EndedTask> ends = this->term->Domain().ApplyReport(
       aWorker, *answer.report, sent, Clock::now());
+    if (this->term->Domain().LongLeases() > longLeases) {
+      this->term->Metrics().Count(DomainMetrics::Event::kLongLease);
+    }
     for (const EndedTask& end : ends) {
       this->term->Metrics().Count(DomainMetrics::EventOf(end.Outcome()));
       LogEnd(aWorker, end);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -1,6 +1,7 @@
 #include "tests/scheduling/domain_world.h"
 
 #include "contracts/ended_task_builder.h"
+#include "contracts/fencing_token.h"
 #include "contracts/job_progress_builder.h"
 #include "contracts/running_task_builder.h"
 #include "contracts/task_address_builder.h"
@@ -79,7 +80,7 @@
   const bool isTruncated = ended.size() >= SiteWorker::kMaxListedEnds;
   return Valid(WorkerReportBuilder()
                  .Incarnation(aWorker.incarnation)
-                 .ClockMs(aNowMs)
+                 .ClockMs(aWorker.ClockAt(aNowMs))
                  .Running(std::move(running))
                  .Ended(std::move(ended))
                  .IsTruncated(isTruncated));
@@ -317,6 +318,13 @@
   return !this->cutOff.contains(aWorker);
 }
 
+std::int64_t
+DomainWorld::TokenFor(const std::string& aWorker) const
+{
+  return FencingToken(this->term, this->domain->FenceOf(WorkerName(aWorker)))
+    .Number();
+}
+
 void
 DomainWorld::SendStart(const StartOrder& aOrder, OrderFault aFault)
 {
@@ -335,10 +343,11 @@
     }
     return;
   }
-  const auto execute = [this, aOrder, worker, until, token = this->term] {
-    return this->site.Start(
-      worker, NameOf(aOrder.Task()), aOrder.Run(), *until, token);
-  };
+  const auto execute =
+    [this, aOrder, worker, until, token = this->TokenFor(worker)] {
+      return this->site.Start(
+        worker, NameOf(aOrder.Task()), aOrder.Run(), *until, token);
+    };
   if (aFault == OrderFault::kLate) {
     this->delayedOrders.push_back(DelayedOrder{
       this->site.nowMs + kOrderDelayMs, worker, [execute] { execute(); } });
@@ -363,7 +372,7 @@
   if (this->IsReplaced(worker)) {
     return;
   }
-  const auto execute = [this, aOrder, worker, token = this->term] {
+  const auto execute = [this, aOrder, worker, token = this->TokenFor(worker)] {
     return this->site.workers.at(worker).Stop(
       NameOf(aOrder.Task()), aOrder.Run(), token, this->site.nowMs);
   };
@@ -395,7 +404,7 @@
     this->domain->AcknowledgeableEnd(WorkerName(aWorker), this->Now());
   const std::int64_t until =
     this->domain->GrantLease(WorkerName(aWorker), this->Now());
-  const auto execute = [=, this, token = this->term] {
+  const auto execute = [=, this, token = this->TokenFor(aWorker)] {
     return this->site.Hold(aWorker, until, acknowledged, token);
   };
   if (aFault == OrderFault::kLate) {
@@ -428,10 +437,13 @@
 }
 
 void
-DomainWorld::RestartWorker(const std::string& aWorker)
+DomainWorld::RestartWorker(const std::string& aWorker, bool aKeepsOrders)
 {
-  this->site.workers.at(aWorker).Restart(++this->lastIncarnation);
-  this->DropDelayedOrders(aWorker);
+  this->site.workers.at(aWorker).Restart(++this->lastIncarnation,
+                                         this->site.nowMs);
+  if (!aKeepsOrders) {
+    this->DropDelayedOrders(aWorker);
+  }
   // A poll is always in flight or being retried, so a crash makes one fail,
   // unless the holder is stalled.
   if (!this->isHolderStalled) {
@@ -461,7 +473,7 @@
 DomainWorld::ReplaceWorker(const std::string& aWorker)
 {
   SiteWorker next = this->site.workers.at(aWorker);
-  next.Restart(++this->lastIncarnation);
+  next.Restart(++this->lastIncarnation, this->site.nowMs);
   next.name = "w" + std::to_string(this->lastIncarnation);
   this->site.workers.erase(aWorker);
   this->site.workers[next.name] = next;
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -79,7 +79,8 @@
   void Pass(std::vector<OrderFault> aFaults);
   void Poll(const std::string& aWorker, OrderFault aFault);
   void PollAll();
-  void RestartWorker(const std::string& aWorker);
+  /** Orders on their way are lost, or reach the next incarnation. */
+  void RestartWorker(const std::string& aWorker, bool aKeepsOrders = false);
   /** Lists the worker as leaving; it goes on until RemoveWorker(). */
   void DrainWorker(const std::string& aWorker);
   /** Ends the worker for good; nothing answers at its address any more, and it
@@ -128,6 +129,7 @@
   {
     return !this->site.workers.contains(aWorker);
   }
+  std::int64_t TokenFor(const std::string& aWorker) const;
   void DropDelayedOrders(const std::string& aWorker);
 
   DomainTiming timing;
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -253,7 +253,7 @@
     outcome = this->simulation.Hold(
       worker.name, untilMs, aBody.value("AckCursor", std::int64_t{ 0 }), token);
   }
-  json answer = { { "ClockMs", this->simulation.nowMs } };
+  json answer = { { "ClockMs", worker.ClockAt(this->simulation.nowMs) } };
   if (outcome == "unhealthy") {
     return Answer(503, json::object());
   }
@@ -268,7 +268,7 @@
 HttpAnswer
 SiteService::WorkerReport(const SiteWorker& aWorker) const
 {
-  json answer = { { "ClockMs", this->simulation.nowMs },
+  json answer = { { "ClockMs", aWorker.ClockAt(this->simulation.nowMs) },
                   { "born", aWorker.incarnation },
                   { "Running", json::array() },
                   { "Ended", json::array() } };
@@ -401,7 +401,7 @@
 {
   SiteWorker next = this->simulation.workers.at(aWorker);
   this->simulation.workers.erase(aWorker);
-  next.Restart(++this->lastIncarnation);
+  next.Restart(++this->lastIncarnation, this->simulation.nowMs);
   next.name = "w" + std::to_string(this->lastIncarnation);
   this->Register(next);
   this->simulation.workers[next.name] = std::move(next);
@@ -421,7 +421,7 @@
   }
   SiteWorker& worker = found->second;
   if (aCommand == "restart") {
-    worker.Restart(++this->lastIncarnation);
+    worker.Restart(++this->lastIncarnation, this->simulation.nowMs);
     worker.isReachable = true;
     this->Register(worker);
   } else if (aCommand == "replace") {
--- a/tests/stand_ins/site_simulation.cpp
+++ b/tests/stand_ins/site_simulation.cpp
@@ -64,7 +64,8 @@
 {
   SiteWorker& worker = this->workers.at(aWorker);
   const std::size_t before = worker.Runs().size();
-  SiteAnswer answer = worker.Start(aTask, aRun, aUntilMs, aToken, this->nowMs);
+  SiteAnswer answer =
+    worker.Start(aTask, aRun, worker.SiteTimeOf(aUntilMs), aToken, this->nowMs);
   if (worker.Runs().size() > before) {
     ++this->starts;
     this->CheckStart(worker, aTask);
@@ -124,7 +125,8 @@
 {
   SiteWorker& worker = this->workers.at(aWorker);
   const std::vector<SiteEnd> before = worker.Ends();
-  SiteAnswer answer = worker.Hold(aUntilMs, aAcknowledged, aToken, this->nowMs);
+  SiteAnswer answer = worker.Hold(
+    worker.SiteTimeOf(aUntilMs), aAcknowledged, aToken, this->nowMs);
   if (answer != "ok") {
     return answer;
   }
@@ -180,7 +182,7 @@
 SiteSimulation::End(const std::string& aWorker)
 {
   SiteWorker& worker = this->workers.at(aWorker);
-  worker.Restart(worker.incarnation);
+  worker.Restart(worker.incarnation, worker.startedMs);
 }
 
 bool
--- a/tests/stand_ins/site_simulation.h
+++ b/tests/stand_ins/site_simulation.h
@@ -57,18 +57,21 @@
 
   static constexpr double kRemoteSlowdown = 3.0;
 
-  /** Simulated time, which all workers' clocks show. */
+  /** Simulated time. The clock of a worker counts from its start; orders carry
+   * times on that clock. */
   std::int64_t nowMs = 0;
   std::map<std::string, SiteWorker> workers;
   std::map<std::string, SiteStep> steps;
 
-  /** Starts a run on a worker and checks the invariants. */
+  /** Starts a run on a worker and checks the invariants; aUntilMs is on the
+   * worker's clock. */
   SiteAnswer Start(const std::string& aWorker,
                    const std::string& aTask,
                    std::int64_t aRun,
                    std::int64_t aUntilMs,
                    std::int64_t aToken);
-  /** Extends a worker's lease and counts the ends that are acknowledged. */
+  /** Extends a worker's lease, until aUntilMs on its clock, and counts the ends
+   * that are acknowledged. */
   SiteAnswer Hold(const std::string& aWorker,
                   std::int64_t aUntilMs,
                   std::int64_t aAcknowledged,
--- a/tests/stand_ins/site_worker.cpp
+++ b/tests/stand_ins/site_worker.cpp
@@ -127,9 +127,10 @@
 }
 
 void
-SiteWorker::Restart(std::int64_t aIncarnation)
+SiteWorker::Restart(std::int64_t aIncarnation, std::int64_t aNowMs)
 {
   this->incarnation = aIncarnation;
+  this->startedMs = aNowMs;
   this->isLeaving = false;
   this->remainingMs = 0;
   this->token = 0;
--- a/tests/stand_ins/site_worker.h
+++ b/tests/stand_ins/site_worker.h
@@ -48,7 +48,7 @@
  * One worker of the users' platform, after the platform's published protocol.
  * It checks only fencing tokens, run numbers and deadlines, not its capacity,
  * so that an oversubscription by the scheduler shows. Times are milliseconds of
- * the worker's own clock, from its start.
+ * the site's clock; see ClockAt().
  */
 class SiteWorker
 {
@@ -82,6 +82,19 @@
   std::int64_t refusedStarts = 0;
   /** Identifies this incarnation of the worker; a restart changes it. */
   std::int64_t incarnation = 1;
+  /** Time of the site at which this incarnation started; its clock counts from
+   * there. */
+  std::int64_t startedMs = 0;
+
+  /** A time of the site on this worker's clock, and the reverse. */
+  std::int64_t ClockAt(std::int64_t aSiteMs) const
+  {
+    return aSiteMs - this->startedMs;
+  }
+  std::int64_t SiteTimeOf(std::int64_t aClockMs) const
+  {
+    return aClockMs + this->startedMs;
+  }
 
   /** Starts a run and extends the lease. Answers "old" to a run that was
    * stopped, has ended or was replaced, and "late" after aUntilMs. */
@@ -105,8 +118,9 @@
   void End(const std::string& aTask, const std::string& aOutcome);
   /** Ends runs whose stop is due, and all runs when the lease has expired. */
   void Advance(std::int64_t aNowMs);
-  /** Clears all state, as a process that crashes and starts again. */
-  void Restart(std::int64_t aIncarnation);
+  /** Clears all state, as a process that crashes and starts again. Its clock
+   * starts anew at aNowMs. */
+  void Restart(std::int64_t aIncarnation, std::int64_t aNowMs);
 
   std::map<std::string, SiteRun>& Runs() { return this->runs; }
   const std::map<std::string, SiteRun>& Runs() const { return this->runs; }
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -26,6 +26,10 @@
 /** Most callers ask for a job's state shortly after its end, while it takes one
  * read instead of two. */
 constexpr Milliseconds kArchiveDelay{ 2000 };
+/** Age from which no order to an earlier incarnation of a worker can exceed the
+ * granted lease. A holder learns of a restart, or stops renewing, within the
+ * time of a poll (2.5 s); the order may be carried out kMaxOrderDelay later. */
+constexpr Milliseconds kMinSettledAge{ 20'000 };
 /** Covers workers whose clocks run 2% slow, over the longest lease. */
 constexpr Milliseconds kLeaseMargin{ 500 };
 /** Time without an answer after which the bound of a worker's leases is stored.
@@ -354,11 +358,10 @@
     return aNow + worker->LeaseLeft(aNow);
   }
   // Leases are granted only to workers that answer, so a bound that an earlier
-  // holder stored holds however many holders came after it.
-  const Instant granted =
-    this->renewedUntil + this->timing.GrantedLease() + kLeaseMargin;
-  return std::min(granted,
-                  this->leaseBounds.StoredFor(aWorker).value_or(granted));
+  // holder stored holds however many holders came after it. It also covers
+  // orders of that holder to an earlier incarnation of the worker.
+  return this->leaseBounds.StoredFor(aWorker).value_or(
+    this->renewedUntil + this->timing.GrantedLease() + kLeaseMargin);
 }
 
 bool
@@ -519,11 +522,7 @@
   const bool isFirst = !worker->HasAnswered();
   const bool isRestarted =
     worker->RecordAnswer(aReport.Incarnation(), aReport.ClockMs(), aReceived);
-  if (isFirst || isRestarted) {
-    // An earlier holder may have granted the longest lease.
-    worker->RecordLease(aReport.ClockMs() +
-                        this->timing.GrantedLease().count());
-  }
+  this->RecordEarlierLeases(*worker, aReport.ClockMs(), isFirst, isRestarted);
   if ((isFirst || isRestarted) && this->paces) {
     this->paces->BeginIncarnation(
       worker->Listing().Service(), aWorker, aReport.Incarnation(), aReceived);
@@ -546,6 +545,31 @@
   return newEnds;
 }
 
+void
+DomainState::RecordEarlierLeases(TrackedWorker& aWorker,
+                                 std::int64_t aClockMs,
+                                 bool aIsFirst,
+                                 bool aIsRestarted)
+{
+  // The deadline of an order is a time on the clock of the incarnation that it
+  // was sent to. For another one it may lie far ahead, and then only the
+  // worker's own maximum bounds the lease.
+  const bool isRenewedLate = aWorker.Fence().NoteAnswer(aIsRestarted);
+  // A worker's clock starts with its process, so it shows the age. Orders of
+  // earlier holders are refused from this answer on.
+  const bool isYoung = aClockMs < kMinSettledAge.count();
+  if (isRenewedLate || aIsRestarted || (aIsFirst && isYoung)) {
+    aWorker.RecordLease(aClockMs + this->timing.WorkerLease().count());
+    ++this->longLeases;
+  } else if (aIsFirst) {
+    aWorker.RecordLease(aClockMs + this->timing.GrantedLease().count());
+  }
+  if (aWorker.Fence().MayBeLate()) {
+    aWorker.RecordLateLease(aClockMs + DomainTiming::kMaxOrderDelay.count() +
+                            this->timing.WorkerLease().count());
+  }
+}
+
 bool
 DomainState::ApplyEnd(TrackedWorker& aWorker,
                       const EndedTask& aEnd,
@@ -748,10 +772,14 @@
 DomainState::GrantLease(const WorkerName& aWorker, Instant aNow)
 {
   TrackedWorker* worker = this->FindWorker(aWorker);
+  if (worker == nullptr) {
+    return 0;
+  }
+  worker->Fence().NotePoll();
   // After a failed poll no lease is granted. A lease ordered repeatedly without
   // an answer would have to count as granted, and the runs of an unreachable
   // worker would never be given up.
-  if (worker == nullptr || !worker->IsIncarnationConfirmed()) {
+  if (!worker->IsIncarnationConfirmed()) {
     return 0;
   }
   const Milliseconds lease = worker->LeavingSince()
@@ -759,9 +787,17 @@
                                : this->timing.GrantedLease();
   const std::int64_t until = worker->ClockAt(aNow) + lease.count();
   worker->RecordLease(until);
+  worker->Fence().NoteRenewal();
   return until;
 }
 
+std::int64_t
+DomainState::FenceOf(const WorkerName& aWorker) const
+{
+  const auto found = this->workers.find(aWorker);
+  return found == this->workers.end() ? 0 : found->second.Fence().Current();
+}
+
 void
 DomainState::WorkerReplaced(const WorkerName& aWorker)
 {
@@ -797,6 +833,7 @@
   member->startDeadlineMs =
     worker->ClockAt(aNow) + DomainTiming::kStartWindow.count();
   worker->RecordLease(member->startDeadlineMs);
+  worker->Fence().NoteRenewal();
   return member->startDeadlineMs;
 }
 
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -142,8 +142,9 @@
    * it never did. */
   Instant SilentSince(const WorkerName& aWorker) const;
 
-  /** Applies the answer to a poll that was sent at aSent; returns the ended
-   * runs that were not reported before. */
+  /** Applies the answer to the latest poll, for which GrantLease() was called;
+   * aSent is when it was sent. Returns the ended runs that were not reported
+   * before. */
   std::vector<EndedTask> ApplyReport(const WorkerName& aWorker,
                                      const WorkerReport& aReport,
                                      Instant aSent,
@@ -153,9 +154,16 @@
    * must not be sent to the worker. */
   std::optional<std::int64_t> StartDeadlineMs(const StartOrder& aOrder,
                                               Instant aNow);
-  /** Time on the worker's clock, in ms, until which a poll renews the worker's
-   * lease; 0 when it must not be renewed. Records the granted lease. */
+  /** Time on the worker's clock, in ms, until which the poll that is about to
+   * be sent renews the worker's lease; 0 when it must not be renewed. Records
+   * the granted lease. */
   std::int64_t GrantLease(const WorkerName& aWorker, Instant aNow);
+  /** Fence that an order to the worker carries; see OrderFence. */
+  std::int64_t FenceOf(const WorkerName& aWorker) const;
+  /** Number of reports after which the worker's lease may be the longest that
+   * a worker grants, because an order to an earlier incarnation of it may have
+   * renewed the lease. */
+  std::int64_t LongLeases() const { return this->longLeases; }
   /** Records that a poll failed or was not answered. The worker gets no new
    * tasks until a poll is answered; what runs on it stays. */
   void PollFailed(const WorkerName& aWorker);
@@ -228,6 +236,12 @@
   bool IsUnreachable(const WorkerName& aWorker, Instant aNow) const;
   /** Bounds that the store should hold. */
   std::map<WorkerName, Instant> WantedLeaseBounds(Instant aNow) const;
+  /** Records the longest lease that earlier orders may have brought a worker
+   * which has restarted, or which answers this holder for the first time. */
+  void RecordEarlierLeases(TrackedWorker& aWorker,
+                           std::int64_t aClockMs,
+                           bool aIsFirst,
+                           bool aIsRestarted);
   void UpdateWithheld();
   const QueueName& CurrentQueueName(const AdmittedJob& aJob) const;
   void AllocateResources(const TrackedJob& aJob,
@@ -276,6 +290,7 @@
   /** Workers that were not listed when a job with runs on them was added. */
   std::set<WorkerName> unlistedPlaces;
   LeaseBoundRecord leaseBounds;
+  std::int64_t longLeases = 0;
   std::map<TeamName, std::int64_t> guarantees;
   std::map<QueueAddress, QueueName> queueNames;
   std::vector<StopOrder> orphans;
--- a/zones/tracked_worker.cpp
+++ b/zones/tracked_worker.cpp
@@ -67,6 +67,7 @@
     this->acknowledged = 0;
     this->unstoredEnds.clear();
     this->grantedUntilMs = 0;
+    this->lateUntilMs = 0;
     this->clockMs = 0;
   }
   this->incarnation = aIncarnation;
@@ -96,10 +97,19 @@
   this->grantedUntilMs = std::max(this->grantedUntilMs, aUntilMs);
 }
 
+void
+TrackedWorker::RecordLateLease(std::int64_t aUntilMs)
+{
+  this->lateUntilMs = std::max(this->lateUntilMs, aUntilMs);
+}
+
 Milliseconds
 TrackedWorker::LeaseLeft(Instant aNow) const
 {
-  const auto left = static_cast<double>(this->grantedUntilMs - this->clockMs);
+  const std::int64_t untilMs =
+    this->fence.MayBeLate() ? std::max(this->grantedUntilMs, this->lateUntilMs)
+                            : this->grantedUntilMs;
+  const auto left = static_cast<double>(untilMs - this->clockMs);
   const auto maxTimeLeft =
     Milliseconds(static_cast<std::int64_t>(left / kSlowestClock) + 1);
   return std::chrono::duration_cast<Milliseconds>(
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -3,6 +3,7 @@
 #include "contracts/task_address.h"
 #include "core/instant.h"
 #include "machines/worker_listing.h"
+#include "zones/leases/order_fence.h"
 
 #include <cstdint>
 #include <deque>
@@ -42,8 +43,15 @@
   /** Estimate of the worker's clock at aNow, in ms. */
   std::int64_t ClockAt(Instant aNow) const;
 
+  /** Fence of the orders to this worker. */
+  OrderFence& Fence() { return this->fence; }
+  const OrderFence& Fence() const { return this->fence; }
+
   /** Records a lease that was ordered; aUntilMs is on the worker's clock. */
   void RecordLease(std::int64_t aUntilMs);
+  /** Records a lease that is possible only as long as orders to an earlier
+   * incarnation may still be carried out. */
+  void RecordLateLease(std::int64_t aUntilMs);
   /** Time until every lease that was ordered has certainly expired; negative
    * afterwards. Meaningless before the worker's first answer. */
   Milliseconds LeaseLeft(Instant aNow) const;
@@ -87,6 +95,7 @@
   {
     this->isIncarnationConfirmed = false;
     this->isPollFailed = true;
+    this->fence.Raise();
   }
   /** Whether a poll failed since the latest answer. */
   bool IsPollFailed() const { return this->isPollFailed; }
@@ -129,6 +138,8 @@
   std::int64_t incarnation = 0;
   std::int64_t clockMs = 0;
   std::int64_t grantedUntilMs = 0;
+  std::int64_t lateUntilMs = 0;
+  OrderFence fence;
   Instant lastReport{};
   std::set<TaskAddress> tasks;
   Resources used;
