Write published rows until a write is acknowledged

Cause: the last acknowledged value was taken for what the store holds. When the count returned to it while the lost write had stored another one, nothing was written. Change: PublishedRow writes all rows that the holder publishes. After a write without an answer the row is written again, also with an equal value, until a write is acknowledged; each depends on the row's own revision. Why it works: once a later write is acknowledged the revision has changed, so an earlier one that is performed late fails its condition.

--- a/scheduling/domain_maintenance.h
+++ b/scheduling/domain_maintenance.h
@@ -9,6 +9,7 @@
 #include "core/reason.h"
 #include "links/row_store.h"
 #include "scheduling/event_line.h"
+#include "scheduling/published_row.h"
 #include "scheduling/store_rows.h"
 #include "zones/domain_state.h"
 #include "zones/job_intake.h"
@@ -40,15 +41,10 @@
    * write is logged and repeated. */
   boost::asio::awaitable<void> PublishPending()
   {
-    std::string published;
+    PublishedRow<Term> row(*this->term, kPendingRow);
     while (this->term->IsActive()) {
       std::string text = EncodePending(this->term->Domain().Pending());
-      if (text != published) {
-        const bool isStored = co_await this->Store(kPendingRow, text);
-        if (isStored) {
-          published = std::move(text);
-        }
-      }
+      co_await row.Store(std::move(text));
       co_await this->term->PauseFor(kPendingInterval);
     }
   }
@@ -58,6 +54,7 @@
    * that it still holds. A failed write is repeated. */
   boost::asio::awaitable<void> PublishBacklog()
   {
+    PublishedRow<Term> row(*this->term, kBacklogRow);
     DomainBacklog::Waits published;
     std::int64_t number = 0;
     Instant storedAt{};
@@ -66,15 +63,14 @@
       DomainBacklog::Waits waits =
         PublishedBacklog(EstimateBacklog(this->term->Domain(), now));
       const bool isDue =
-        waits != published ||
+        row.IsDoubtful() || waits != published ||
         (!waits.empty() && now >= storedAt + kBacklogRepetition);
       if (isDue) {
         Reason ignored; // No wait is negative.
         const auto backlog =
           DomainBacklogBuilder().Waits(waits).Number(++number).Build(ignored);
         std::string value = EncodeDomainBacklog(*backlog);
-        const bool isStored =
-          co_await this->Store(kBacklogRow, std::move(value));
+        const bool isStored = co_await row.Store(std::move(value));
         if (isStored) {
           EventLine("backlog_stored")
             .Field("longest_ms", LongestOf(waits).count())
@@ -92,15 +88,17 @@
    * failed write is logged and repeated. */
   boost::asio::awaitable<void> PublishUsage()
   {
+    PublishedRow<Term> row(*this->term, kUsageRow);
     std::optional<DomainUsage> published;
     while (this->term->IsActive()) {
       if (!published) {
-        published = co_await this->ReadUsage();
+        published = co_await this->ReadUsage(row);
       }
       const DomainUsage usage = PublishedUsage(this->term->Domain().Usage());
-      if (published && usage != *published) {
+      const bool isDue = published && (row.IsDoubtful() || usage != *published);
+      if (isDue) {
         std::string value = EncodeDomainUsage(usage);
-        const bool isStored = co_await this->Store(kUsageRow, std::move(value));
+        const bool isStored = co_await row.Store(std::move(value));
         if (isStored) {
           EventLine("usage_stored")
             .Field("bytes", usage.Bytes())
@@ -118,7 +116,8 @@
    * failed call is logged and not repeated before its time. */
   boost::asio::awaitable<void> PublishPaces()
   {
-    const std::optional<PaceRecords> stored = co_await this->ReadPaces();
+    PublishedRow<Term> row(*this->term, kPaceRow);
+    const std::optional<PaceRecords> stored = co_await this->ReadPaces(row);
     if (stored && this->term->IsActive()) {
       EventLine("paces_loaded")
         .Field("workers", static_cast<std::int64_t>(stored->Entries().size()))
@@ -135,11 +134,13 @@
       }
       PaceRecords records = paces->Records();
       const std::size_t unlike = records.CountUnlike(published);
-      if (unlike * kMinUnlikeShare < records.Entries().size() || unlike == 0) {
+      const bool isLike =
+        unlike * kMinUnlikeShare < records.Entries().size() || unlike == 0;
+      if (isLike && !row.IsDoubtful()) {
         continue;
       }
       std::string text = EncodePaceRecords(records);
-      const bool isStored = co_await this->Store(kPaceRow, std::move(text));
+      const bool isStored = co_await row.Store(std::move(text));
       if (isStored) {
         EventLine("paces_stored")
           .Field("workers", static_cast<std::int64_t>(records.Entries().size()))
@@ -174,40 +175,34 @@
 
   /** The usage that an earlier holder stored; none of it if the store has no
    * row. Empty when the read failed. */
-  boost::asio::awaitable<std::optional<DomainUsage>> ReadUsage()
+  boost::asio::awaitable<std::optional<DomainUsage>> ReadUsage(
+    PublishedRow<Term>& aRow)
   {
     Reason reason;
-    std::string table = kDomainTable;
-    std::string from = kUsageRow;
-    std::string to = AfterKey(kUsageRow);
-    const auto page = co_await this->term->Rows().Read(
-      std::move(table), std::move(from), std::move(to), reason);
-    if (!page) {
+    const bool isLoaded = co_await aRow.Load(reason);
+    if (!isLoaded) {
       EventLine("usage_unreadable").Field(reason).Emit();
       co_return std::nullopt;
     }
-    if (page->Rows().empty()) {
+    if (!aRow.Value()) {
       co_return DomainUsage();
     }
     // A row that is not a usage is replaced.
-    co_return DecodeDomainUsage(page->Rows().front().Value(), reason)
+    co_return DecodeDomainUsage(*aRow.Value(), reason)
       .value_or(DomainUsage().With(TeamName(), kMaxIntakeBytes));
   }
 
-  boost::asio::awaitable<std::optional<PaceRecords>> ReadPaces()
+  boost::asio::awaitable<std::optional<PaceRecords>> ReadPaces(
+    PublishedRow<Term>& aRow)
   {
     Reason reason;
-    std::string table = kDomainTable;
-    std::string from = kPaceRow;
-    std::string to = AfterKey(kPaceRow);
-    const auto page = co_await this->term->Rows().Read(
-      std::move(table), std::move(from), std::move(to), reason);
     std::optional<PaceRecords> records;
-    if (page && page->Rows().empty()) {
+    const bool isLoaded = co_await aRow.Load(reason);
+    if (isLoaded && !aRow.Value()) {
       co_return records;
     }
-    if (page) {
-      records = DecodePaceRecords(page->Rows().front().Value(), reason);
+    if (isLoaded) {
+      records = DecodePaceRecords(*aRow.Value(), reason);
     }
     if (!records) {
       EventLine("pace_unreadable").Field(reason).Emit();
@@ -215,24 +210,6 @@
     co_return records;
   }
 
-  /** Stores a value in a row of the domain. */
-  boost::asio::awaitable<bool> Store(std::string aRow, std::string aValue)
-  {
-    std::vector<TableCheck> checks;
-    std::vector<TableWrite> writes;
-    AddCheck(checks, kDomainTable, kTermRow, this->term->Revision());
-    AddWrite(writes, kDomainTable, aRow, std::move(aValue));
-    const TableTransaction transaction =
-      MakeTransaction(std::move(checks), std::move(writes));
-    Reason reason;
-    const CommitAnswer answer =
-      co_await this->term->Rows().Commit(transaction, reason);
-    if (answer.Outcome() != WriteOutcome::kCommitted) {
-      EventLine(aRow + "_not_stored").Field(reason).Emit();
-    }
-    co_return answer.Outcome() == WriteOutcome::kCommitted;
-  }
-
   Term* term;
 };
 
