Store until when a holder renews leases

Cause: the next holder counted the grace time of the lost one from its own takeover, because nothing said until when that one had renewed. Change: the holder's row says, on the store's clock, until when its holder and the ones before it renew leases. The next holder counts from there where that is earlier than its grace time; a process that has exited renews nothing after its successor on the same host has started. Answers to writes show the store's time, so no further call is made. Why it works: a holder checks its exclusivity, which ends with the last acknowledged renewal, before each poll; the row was written no earlier.

--- a/codecs/domain_owner_json.cpp
+++ b/codecs/domain_owner_json.cpp
@@ -16,7 +16,9 @@
                     { "term", aOwner.Term() },
                     { "renewal", aOwner.Renewal() },
                     { "released", aOwner.IsReleased() },
-                    { "bounds_kept_since", aOwner.BoundsKeptSince() } });
+                    { "bounds_kept_since", aOwner.BoundsKeptSince() },
+                    { "renews_until_ms", aOwner.RenewsUntilMs() },
+                    { "others_until_ms", aOwner.OthersUntilMs() } });
 }
 
 std::optional<DomainOwner>
@@ -35,6 +37,8 @@
     .Renewal(IntegerField(*object, "renewal"))
     .IsReleased(BooleanField(*object, "released"))
     .BoundsKeptSince(IntegerField(*object, "bounds_kept_since"))
+    .RenewsUntilMs(IntegerField(*object, "renews_until_ms"))
+    .OthersUntilMs(IntegerField(*object, "others_until_ms"))
     .Build(aReason);
 }
 
--- a/contracts/commit_answer.h
+++ b/contracts/commit_answer.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace sardinecourse {
@@ -23,6 +24,10 @@
    * refuses every repetition too. */
   bool IsInvalid() const { return this->isInvalid; }
 
+  /** Time of the store's steady clock when it answered, in ms; empty if the
+   * answer does not say. */
+  std::optional<std::int64_t> StoreTimeMs() const { return this->storeTimeMs; }
+
   auto operator<=>(const CommitAnswer&) const = default;
 
 private:
@@ -32,6 +37,7 @@
   std::int64_t revision = 0;
   std::vector<TableRow> current;
   bool isInvalid = false;
+  std::optional<std::int64_t> storeTimeMs;
 };
 
 }
--- a/contracts/commit_answer_builder.cpp
+++ b/contracts/commit_answer_builder.cpp
@@ -34,6 +34,13 @@
   return *this;
 }
 
+CommitAnswerBuilder&
+CommitAnswerBuilder::StoreTimeMs(std::optional<std::int64_t> aStoreTimeMs)
+{
+  this->value.storeTimeMs = aStoreTimeMs;
+  return *this;
+}
+
 std::optional<CommitAnswer>
 CommitAnswerBuilder::Build(Reason& aReason) const
 {
--- a/contracts/commit_answer_builder.h
+++ b/contracts/commit_answer_builder.h
@@ -17,6 +17,7 @@
   CommitAnswerBuilder& Revision(std::int64_t aRevision);
   CommitAnswerBuilder& Current(std::vector<TableRow> aCurrent);
   CommitAnswerBuilder& IsInvalid(bool aIsInvalid);
+  CommitAnswerBuilder& StoreTimeMs(std::optional<std::int64_t> aStoreTimeMs);
   std::optional<CommitAnswer> Build(Reason& aReason) const;
 
 private:
--- a/contracts/domain_owner.h
+++ b/contracts/domain_owner.h
@@ -27,6 +27,13 @@
    * a bound of its leases was stored; 0 when this holder does not. */
   std::int64_t BoundsKeptSince() const { return this->boundsKeptSince; }
 
+  /** Time on the store's clock, in ms, after which this holder renews no
+   * worker's lease unless it writes a later row; 0 when not known. */
+  std::int64_t RenewsUntilMs() const { return this->renewsUntilMs; }
+  /** Time on the store's clock, in ms, after which no earlier holder renews a
+   * worker's lease; 0 when not known. */
+  std::int64_t OthersUntilMs() const { return this->othersUntilMs; }
+
   auto operator<=>(const DomainOwner&) const = default;
 
 private:
@@ -38,6 +45,8 @@
   std::int64_t renewal = 0;
   bool isReleased = false;
   std::int64_t boundsKeptSince = 0;
+  std::int64_t renewsUntilMs = 0;
+  std::int64_t othersUntilMs = 0;
 };
 
 }
--- a/contracts/domain_owner_builder.cpp
+++ b/contracts/domain_owner_builder.cpp
@@ -48,6 +48,20 @@
   return *this;
 }
 
+DomainOwnerBuilder&
+DomainOwnerBuilder::RenewsUntilMs(std::int64_t aStoreMs)
+{
+  this->value.renewsUntilMs = aStoreMs;
+  return *this;
+}
+
+DomainOwnerBuilder&
+DomainOwnerBuilder::OthersUntilMs(std::int64_t aStoreMs)
+{
+  this->value.othersUntilMs = aStoreMs;
+  return *this;
+}
+
 std::optional<DomainOwner>
 DomainOwnerBuilder::Build(Reason& aReason) const
 {
--- a/contracts/domain_owner_builder.h
+++ b/contracts/domain_owner_builder.h
@@ -19,6 +19,8 @@
   DomainOwnerBuilder& Renewal(std::int64_t aRenewal);
   DomainOwnerBuilder& IsReleased(bool aIsReleased);
   DomainOwnerBuilder& BoundsKeptSince(std::int64_t aTerm);
+  DomainOwnerBuilder& RenewsUntilMs(std::int64_t aStoreMs);
+  DomainOwnerBuilder& OthersUntilMs(std::int64_t aStoreMs);
   std::optional<DomainOwner> Build(Reason& aReason) const;
 
 private:
--- a/contracts/store_clock.cpp
+++ b/contracts/store_clock.cpp
@@ -37,9 +37,13 @@
 Instant
 StoreClock::ReachedBy(std::int64_t aStoreMs) const
 {
-  return aStoreMs <= this->readMs
-           ? this->received
-           : this->received + Stretched(Milliseconds(aStoreMs - this->readMs));
+  if (aStoreMs > this->readMs) {
+    return this->received + Stretched(Milliseconds(aStoreMs - this->readMs));
+  }
+  // At least this much time has passed on this host's clock since then.
+  const auto passed =
+    static_cast<double>(this->readMs - aStoreMs) / kMaxRateRatio;
+  return this->received - Milliseconds(static_cast<std::int64_t>(passed));
 }
 
 }
--- a/scheduling/lease_loop.h
+++ b/scheduling/lease_loop.h
@@ -133,6 +133,15 @@
     this->PublishExclusivity();
   }
 
+  /** Takes the store's time from an answer to a call that was sent at aSent. */
+  void NoteStoreTime(std::optional<std::int64_t> aStoreMs, Instant aSent)
+  {
+    if (aStoreMs) {
+      this->lease =
+        this->lease.StoreClockRead(StoreClock(*aStoreMs, aSent, Clock::now()));
+    }
+  }
+
   /** The holder's thread learns of a loss by a callback that it may run later,
    * so the time is withdrawn at once. */
   void PublishExclusivity()
@@ -170,14 +179,17 @@
     AddWrite(writes, kLeaseTable, kOwnerRow, EncodeDomainOwner(aRow));
     const TableTransaction transaction =
       MakeTransaction(std::move(checks), std::move(writes));
+    const Instant sent = Clock::now();
     CommitAnswer answer = co_await this->store->Commit(transaction, aReason);
+    this->NoteStoreTime(answer.StoreTimeMs(), sent);
     co_return answer;
   }
 
   /** Writes the released row; true when no further attempt is needed. */
   boost::asio::awaitable<bool> WriteRelease()
   {
-    const std::optional<DomainOwner> row = this->lease.RenewalRow(true);
+    const std::optional<DomainOwner> row =
+      this->lease.RenewalRow(true, Clock::now());
     const std::int64_t revision = this->lease.Revision();
     Reason reason;
     const CommitAnswer answer = co_await this->Write(*row, revision, reason);
@@ -212,7 +224,7 @@
   {
     Reason reason;
     const Instant sent = Clock::now();
-    const std::optional<DomainOwner> row = this->lease.RenewalRow(false);
+    const std::optional<DomainOwner> row = this->lease.RenewalRow(false, sent);
     const std::int64_t revision = this->lease.Revision();
     const CommitAnswer answer = co_await this->Write(*row, revision, reason);
     if (!this->isHolder) {
@@ -268,8 +280,12 @@
   boost::asio::awaitable<void> Watch()
   {
     Reason reason;
+    const Instant sent = Clock::now();
     const std::optional<RowPage> page =
       co_await this->feed.Next(this->WaitTime(), reason);
+    if (page) {
+      this->NoteStoreTime(page->StoreTimeMs(), sent);
+    }
     if (!page) {
       this->feed.Restart();
       this->isStoreLost = true;
@@ -408,7 +424,8 @@
       isTermKnown = co_await this->ReadTerm(lastTerm, termRevision, reason);
     }
     const std::optional<DomainOwner> row =
-      isTermKnown ? this->lease.TakeoverRow(lastTerm) : std::nullopt;
+      isTermKnown ? this->lease.TakeoverRow(Clock::now(), lastTerm)
+                  : std::nullopt;
     if (!row) {
       EventLine("domain_takeover_failed").Field(reason).Emit();
       co_await Pause(*this->context, kRetryPause);
@@ -422,16 +439,20 @@
       std::max<std::int64_t>(this->lease.Revision(), 0);
     const CommitAnswer answer = co_await this->Write(*row, revision, reason);
     const bool isCommitted = answer.Outcome() == WriteOutcome::kCommitted;
+    const Instant now = Clock::now();
+    const Instant renewedUntil = before.RenewedUntil(now);
     EventLine("domain_takeover")
       .Field("term", row->Term())
       .Field("previous_holder", previous)
+      .Field(
+        "renewals_end_in_ms",
+        std::chrono::duration_cast<Milliseconds>(renewedUntil - now).count())
       .Field("committed", isCommitted ? 1 : 0)
       .Field(reason)
       .Emit();
     if (isCommitted) {
       this->isHolder = true;
       this->SetLease(this->lease.RowWritten(*row, answer.Revision(), sent));
-      const Instant renewedUntil = before.RenewedUntil(Clock::now());
       if (!this->isStopping) {
         boost::asio::co_spawn(*this->context,
                               this->StoreTerm(row->Term(), renewedUntil),
--- a/tests/scheduling/fake_row_store.h
+++ b/tests/scheduling/fake_row_store.h
@@ -49,7 +49,7 @@
   /** Called in turn, one before each read or list of changes. */
   std::deque<std::function<void()>> beforeReads;
   int commits = 0;
-  /** Time on the store's clock that a read answers. */
+  /** Time on the store's clock that every answer gives. */
   std::int64_t timeMs = 5000;
   /** Bytes of values that one transaction may hold. */
   std::size_t maxCallBytes = 1'000'000;
@@ -114,6 +114,7 @@
                   .RemovedKeys(std::move(removed))
                   .IsHistoryLost(this->isHistoryLost)
                   .Revision(this->revision)
+                  .StoreTimeMs(this->timeMs)
                   .Build(aReason);
     co_return page;
   }
@@ -249,6 +250,7 @@
     return *CommitAnswerBuilder()
               .Outcome(WriteOutcome::kCommitted)
               .Revision(this->revision)
+              .StoreTimeMs(this->timeMs)
               .Build(reason);
   }
 
--- a/tests/scheduling/lease_loop_test.cpp
+++ b/tests/scheduling/lease_loop_test.cpp
@@ -75,6 +75,8 @@
   CPPUNIT_TEST(TermWithLostAnswerIsReportedOnce);
   CPPUNIT_TEST(HostWithLargestShareTakesOver);
   CPPUNIT_TEST(LostHolderMayRenewLeasesAfterTheTakeover);
+  CPPUNIT_TEST(RenewalsThatAreOverAreNotWaitedFor);
+  CPPUNIT_TEST(RenewalStoresUntilWhenTheHolderRenews);
   CPPUNIT_TEST(OneHostTakesOverFromLostHolder);
   CPPUNIT_TEST(ReleaseEndsExclusivityBeforeTheHolderLearnsOfIt);
   CPPUNIT_TEST(StopDuringTakeoverReleasesDomain);
@@ -131,6 +133,43 @@
                    started + kLease + DomainTiming::kRenewalGrace);
   }
 
+  // Failure: all hosts lose power for seconds; the next holder waits for
+  // renewals that ended before.
+  void RenewalsThatAreOverAreNotWaitedFor()
+  {
+    this->store.timeMs = 60'000;
+    this->store.Put(kLeaseTable,
+                    kOwnerRow,
+                    R"({"host":"gone","process":"p0","term":3,"renewal":1,)"
+                    R"("released":false,"renews_until_ms":20000,)"
+                    R"("others_until_ms":10000})");
+    this->Add("a", 1.0);
+    const Instant started = Clock::now();
+    this->RunUntilGains(1);
+    CPPUNIT_ASSERT(this->lastGain.renewedUntil <
+                   started - Milliseconds(35'000));
+  }
+
+  void RenewalStoresUntilWhenTheHolderRenews()
+  {
+    this->PutOwner();
+    this->Add("a", 1.0);
+    this->RunUntilGains(1);
+    const auto earliest =
+      this->store.timeMs + (kLease + DomainTiming::kRenewalGrace).count();
+    const DomainOwner taken = this->StoredOwner();
+    CPPUNIT_ASSERT(taken.RenewsUntilMs() >= earliest);
+    CPPUNIT_ASSERT(taken.OthersUntilMs() >=
+                   this->store.timeMs + DomainTiming::kRenewalGrace.count());
+    constexpr std::int64_t kLaterMs = 1'000'000;
+    this->store.timeMs += kLaterMs;
+    this->context.restart();
+    this->context.run_for(kLease);
+    CPPUNIT_ASSERT(this->StoredOwner().RenewsUntilMs() >= earliest + kLaterMs);
+    CPPUNIT_ASSERT_EQUAL(taken.OthersUntilMs(),
+                         this->StoredOwner().OthersUntilMs());
+  }
+
   /** All other hosts see the holder's lease expire at the same time. */
   void OneHostTakesOverFromLostHolder()
   {
@@ -225,6 +264,14 @@
                     R"("released":false})");
   }
 
+  DomainOwner StoredOwner() const
+  {
+    Reason reason;
+    return DecodeDomainOwner(this->store.Find(kLeaseTable, kOwnerRow)->Value(),
+                             reason)
+      .value();
+  }
+
   void Release(const std::unique_ptr<Loop>& aLoop)
   {
     boost::asio::co_spawn(
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -39,6 +39,14 @@
   return answer;
 }
 
+std::int64_t
+StoreTimeMs()
+{
+  return std::chrono::duration_cast<Milliseconds>(
+           Clock::now().time_since_epoch())
+    .count();
+}
+
 std::int64_t
 NumberOf(const std::string& aText)
 {
@@ -141,9 +149,7 @@
                                    target.Query("part"),
                                    target.Query("From"),
                                    target.Query("Target"));
-    range["NowMs"] =
-      std::chrono::duration_cast<Milliseconds>(Clock::now().time_since_epoch())
-        .count();
+    range["NowMs"] = StoreTimeMs();
     co_return Answer(200, range);
   }
   const json transaction = json::parse(aRequest.body, nullptr, false);
@@ -158,6 +164,7 @@
     this->faults["lose_commits"] = lossesLeft - 1;
     co_await this->Pause(kHangTime);
   }
+  body["NowMs"] = StoreTimeMs();
   co_return Answer(isApplied ? 200 : 412, body);
 }
 
@@ -179,7 +186,9 @@
         co_return Answer(410, json::object());
       }
       if (this->store.HasChanges(table, after) || Clock::now() >= deadline) {
-        co_return Answer(200, this->store.Changes(table, after));
+        json changes = this->store.Changes(table, after);
+        changes["NowMs"] = StoreTimeMs();
+        co_return Answer(200, changes);
       }
     }
     co_await this->Pause(Milliseconds(5));
--- a/zones/domain_lease.cpp
+++ b/zones/domain_lease.cpp
@@ -63,6 +63,14 @@
   return next;
 }
 
+DomainLease
+DomainLease::StoreClockRead(StoreClock aClock) const
+{
+  DomainLease next = *this;
+  next.clock = aClock;
+  return next;
+}
+
 DomainLease
 DomainLease::StoreRegained(Instant aNow) const
 {
@@ -90,6 +98,24 @@
                 : this->unchangedSince + this->length + kClockMargin;
 }
 
+std::optional<Instant>
+DomainLease::OwnerGoneSince(Instant aNow) const
+{
+  if (!this->row || this->row->Host() != this->self) {
+    return std::nullopt;
+  }
+  // An earlier process of this host exited before this one started. This one
+  // has ended its own term before it takes over again.
+  return this->row->Process() == this->process ? aNow : this->termSince;
+}
+
+bool
+DomainLease::HasRenewalTimes() const
+{
+  return this->clock && this->row && this->row->RenewsUntilMs() > 0 &&
+         this->row->OthersUntilMs() > 0;
+}
+
 Instant
 DomainLease::RenewedUntil(Instant aTakeover) const
 {
@@ -97,48 +123,80 @@
   // expired goes on for its grace time, and it may have preceded a holder that
   // released the domain soon after its own takeover.
   const bool isReleased = this->row && this->row->IsReleased();
-  return isReleased
-           ? std::max(aTakeover, this->termSince + DomainTiming::kRenewalGrace)
-           : aTakeover + DomainTiming::kRenewalGrace;
+  const Instant bound =
+    isReleased
+      ? std::max(aTakeover, this->termSince + DomainTiming::kRenewalGrace)
+      : aTakeover + DomainTiming::kRenewalGrace;
+  if (!this->HasRenewalTimes()) {
+    return bound;
+  }
+  const Instant own =
+    std::min(this->clock->ReachedBy(this->row->RenewsUntilMs()),
+             this->OwnerGoneSince(aTakeover).value_or(Instant::max()));
+  const Instant others = this->clock->ReachedBy(this->row->OthersUntilMs());
+  return std::min(bound, std::max(own, others));
+}
+
+std::int64_t
+DomainLease::OthersUntilMs(Instant aNow) const
+{
+  if (!this->clock) {
+    return 0;
+  }
+  // No process has the domain exclusively when another one may take it over.
+  const std::int64_t bound =
+    this->clock->LatestAt(aNow + DomainTiming::kRenewalGrace);
+  if (!this->HasRenewalTimes()) {
+    return bound;
+  }
+  const std::optional<Instant> goneSince = this->OwnerGoneSince(aNow);
+  const std::int64_t own =
+    goneSince
+      ? std::min(this->row->RenewsUntilMs(), this->clock->LatestAt(*goneSince))
+      : this->row->RenewsUntilMs();
+  return std::min(bound, std::max(own, this->row->OthersUntilMs()));
 }
 
 std::optional<DomainOwner>
-DomainLease::TakeoverRow(std::int64_t aLastTerm) const
+DomainLease::TakeoverRow(Instant aNow, std::int64_t aLastTerm) const
 {
   const std::int64_t term =
     std::max(this->row ? this->row->Term() : 0, aLastTerm);
   // A holder of a build without bounds writes the row without this term.
   const std::int64_t kept = this->row ? this->row->BoundsKeptSince() : 0;
-  return this->MakeOwner(term + 1, 0, false, kept > 0 ? kept : term + 1);
+  Reason ignored; // Fails only for an empty host name, which self never is.
+  return this->MakeOwner(aNow + this->length + DomainTiming::kRenewalGrace)
+    .Term(term + 1)
+    .BoundsKeptSince(kept > 0 ? kept : term + 1)
+    .OthersUntilMs(this->OthersUntilMs(aNow))
+    .Build(ignored);
 }
 
 std::optional<DomainOwner>
-DomainLease::RenewalRow(bool aIsRelease) const
+DomainLease::RenewalRow(bool aIsRelease, Instant aNow) const
 {
   if (!this->row) {
     return std::nullopt;
   }
-  return this->MakeOwner(this->row->Term(),
-                         this->row->Renewal() + 1,
-                         aIsRelease,
-                         this->row->BoundsKeptSince());
+  Reason ignored; // As above.
+  return this
+    ->MakeOwner(aIsRelease ? aNow
+                           : aNow + this->length + DomainTiming::kRenewalGrace)
+    .Term(this->row->Term())
+    .Renewal(this->row->Renewal() + 1)
+    .IsReleased(aIsRelease)
+    .BoundsKeptSince(this->row->BoundsKeptSince())
+    .OthersUntilMs(this->row->OthersUntilMs())
+    .Build(ignored);
 }
 
-std::optional<DomainOwner>
-DomainLease::MakeOwner(std::int64_t aTerm,
-                       std::int64_t aRenewal,
-                       bool aIsReleased,
-                       std::int64_t aBoundsKeptSince) const
+DomainOwnerBuilder
+DomainLease::MakeOwner(Instant aRenewsUntil) const
 {
-  Reason ignored; // Fails only for an empty host name, which self never is.
   return DomainOwnerBuilder()
     .Host(this->self)
     .Process(this->process)
-    .Term(aTerm)
-    .Renewal(aRenewal)
-    .IsReleased(aIsReleased)
-    .BoundsKeptSince(aBoundsKeptSince)
-    .Build(ignored);
+    .RenewsUntilMs(this->clock ? this->clock->LatestAt(aRenewsUntil) : 0);
 }
 
 }
--- a/zones/domain_lease.h
+++ b/zones/domain_lease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "contracts/domain_owner.h"
+#include "contracts/store_clock.h"
 #include "core/instant.h"
 
 #include <compare>
@@ -10,6 +11,8 @@
 
 namespace sardinecourse {
 
+class DomainOwnerBuilder;
+
 /**
  * One process's view of the lease on the scheduling domain, from which it
  * derives when it may take over or act as the holder. It is an immutable value:
@@ -36,6 +39,9 @@
                          std::int64_t aRevision,
                          Instant aSent) const;
 
+  /** Applies a reading of the store's clock. */
+  DomainLease StoreClockRead(StoreClock aClock) const;
+
   const std::optional<DomainOwner>& Row() const { return this->row; }
   std::int64_t Revision() const { return this->revision; }
   /** Time until which no other process may take over. */
@@ -47,12 +53,13 @@
    * process takes over at aTakeover. */
   Instant RenewedUntil(Instant aTakeover) const;
 
-  /** The row that a takeover writes, with the next term. aLastTerm is the last
-   * term known from elsewhere, 0 for none. */
-  std::optional<DomainOwner> TakeoverRow(std::int64_t aLastTerm = 0) const;
-  /** The row that a renewal writes, or with aIsRelease the release of the
-   * domain. For the holder only; empty before a row was observed. */
-  std::optional<DomainOwner> RenewalRow(bool aIsRelease) const;
+  /** The row that a takeover writes at aNow, with the next term. aLastTerm is
+   * the last term known from elsewhere, 0 for none. */
+  std::optional<DomainOwner> TakeoverRow(Instant aNow,
+                                         std::int64_t aLastTerm = 0) const;
+  /** The row that a renewal writes at aNow, or with aIsRelease the release of
+   * the domain. For the holder only; empty before a row was observed. */
+  std::optional<DomainOwner> RenewalRow(bool aIsRelease, Instant aNow) const;
   /** Whether aRow was written by this process in the current term and is not
    * released. */
   bool IsSameHolder(const DomainOwner& aRow) const;
@@ -60,10 +67,14 @@
   auto operator<=>(const DomainLease&) const = default;
 
 private:
-  std::optional<DomainOwner> MakeOwner(std::int64_t aTerm,
-                                       std::int64_t aRenewal,
-                                       bool aIsReleased,
-                                       std::int64_t aBoundsKeptSince) const;
+  /** Sets what the rows of all terms of this process have in common. */
+  DomainOwnerBuilder MakeOwner(Instant aRenewsUntil) const;
+  /** Whether the row's process is known to have ended its term; set, it has
+   * ended by that time. */
+  std::optional<Instant> OwnerGoneSince(Instant aNow) const;
+  /** Whether the row says until when its holder and the ones before renew. */
+  bool HasRenewalTimes() const;
+  std::int64_t OthersUntilMs(Instant aNow) const;
 
   HostName self;
   std::string process;
@@ -76,6 +87,8 @@
   Instant unchangedSince{};
   /** When the current term of the row was first observed. */
   Instant termSince{};
+  /** Latest reading of the store's clock. */
+  std::optional<StoreClock> clock;
   /** A time before the last committed write of this process was sent. */
   Instant sent{};
 };
