--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -200,13 +200,14 @@
 {
   const json body = json::parse(aRequest.body, nullptr, false);
   const std::string name(aRequest.fields.Find("X-Expect-Instance"));
+  if (this->faults.value("silent", "") == name) {
+    co_await this->Pause(kHangTime);
+  }
+  // The worker may have been replaced during the pause.
   const auto found = this->simulation.workers.find(name);
   if (!body.is_object() || found == this->simulation.workers.end()) {
     co_return Answer(421, json::object());
   }
-  if (this->faults.value("silent", "") == name) {
-    co_await this->Pause(kHangTime);
-  }
   const Instant deadline =
     Clock::now() + Milliseconds(body.value("WaitMs", std::int64_t{ 0 }));
   const std::int64_t incarnation = found->second.incarnation;
