Let orders on their way reach a restarted worker in the random histories

Change: orders to a worker that can be reached are kept; the holder polls it at once, as it does, and in half of the cases hasn't noticed the restart.

--- a/tests/scheduling/domain_fuzz_test.cpp
+++ b/tests/scheduling/domain_fuzz_test.cpp
@@ -185,7 +185,7 @@
         this->world.TakeOver();
         break;
       case Act::kRestartWorker:
-        this->world.RestartWorker(worker);
+        this->Restart(worker, aAction.number % 2 == 0);
         break;
       case Act::kReplaceWorker:
         this->world.ReplaceWorker(worker);
@@ -227,6 +227,21 @@
   }
 
 private:
+  /** Restarts a worker; the holder learns of it from a failed poll or from the
+   * next report. Orders on their way reach the next incarnation, unless it is
+   * cut off: then no holder could know before the lease has ended. */
+  void Restart(const std::string& aWorker, bool aIsNoticed)
+  {
+    const bool isReachable = !this->world.cutOff.contains(aWorker);
+    this->world.isHolderStalled = !aIsNoticed && isReachable;
+    this->world.RestartWorker(aWorker, isReachable);
+    this->world.isHolderStalled = false;
+    if (isReachable) {
+      this->world.Poll(aWorker, OrderFault::kAnswered);
+      this->world.Poll(aWorker, OrderFault::kAnswered);
+    }
+  }
+
   void Submit(int aNumber,
               std::vector<JobStep> aSteps,
               bool aFails,
