Store which leaving workers get short leases only

Cause: the next holder waits for the longest lease from the last possible renewal, since nothing tells it that the lost one granted leaving workers 2.5 s only. Change: the row leaving_leases names the leaving workers with runs, and by when longer leases on them have expired. A worker that may be in it gets short leases only until a write without it is answered, as with the bounds of silent workers, with which it is read and written. Why it works: the row is acknowledged before it counts, and all later grants are short; the next holder waits for a short lease from the last possible renewal, and for the longer ones that were granted before.

--- a/scheduling/lease_bound_writer.h
+++ b/scheduling/lease_bound_writer.h
@@ -9,15 +9,18 @@
 #include "scheduling/store_rows.h"
 #include "zones/domain_state.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace sardinecourse {
 
 /** Reads and stores the bounds of the leases on workers that the holder cannot
- * reach, so that the wait for such a worker does not begin anew with the next
+ * reach, and the leaving workers that get short leases only, so that the wait
+ * for such a worker does not begin anew, or count longer leases, with the next
  * holder. */
 template<typename Term>
 class LeaseBoundWriter
@@ -33,27 +36,23 @@
   boost::asio::awaitable<bool> Load(Reason& aReason)
   {
     const Instant sent = Clock::now();
-    const std::optional<RowPage> page = co_await this->ReadRow(aReason);
+    const std::optional<RowPage> page = co_await this->ReadRows(aReason);
     if (!page) {
       co_return false;
     }
-    const bool isUsable = !page->Rows().empty() && page->StoreTimeMs();
-    if (!isUsable) {
-      co_return true;
-    }
-    Reason reason;
-    const std::optional<LeaseBounds> bounds =
-      DecodeLeaseBounds(page->Rows().front().Value(), reason);
-    if (!bounds) {
-      EventLine("lease_bounds_unreadable").Field(reason).Emit();
+    if (page->Rows().empty() || !page->StoreTimeMs()) {
       co_return true;
     }
+    const StoreClock clock(*page->StoreTimeMs(), sent, Clock::now());
+    const LeaseBounds bounds = Decode(*page, kLeaseBoundsRow);
+    const LeaseBounds leaving = Decode(*page, kLeavingLeasesRow);
     this->term->Domain().AdoptLeaseBounds(
-      *bounds,
-      this->term->BoundsKeptSince(),
-      StoreClock(*page->StoreTimeMs(), sent, Clock::now()));
+      bounds, this->term->BoundsKeptSince(), clock);
+    this->term->Domain().AdoptLeavingLeases(
+      leaving, this->term->BoundsKeptSince(), clock);
     EventLine("lease_bounds_loaded")
-      .Field("workers", static_cast<std::int64_t>(bounds->size()))
+      .Field("workers", static_cast<std::int64_t>(bounds.size()))
+      .Field("leaving", static_cast<std::int64_t>(leaving.size()))
       .Field("term", this->term->Number())
       .Emit();
     co_return true;
@@ -76,24 +75,62 @@
   static constexpr Milliseconds kInterval{ 100 };
   static constexpr Milliseconds kFailurePause{ 200 };
 
-  boost::asio::awaitable<std::optional<RowPage>> ReadRow(Reason& aReason)
+  /** The keys of both rows follow each other. */
+  boost::asio::awaitable<std::optional<RowPage>> ReadRows(Reason& aReason)
   {
     std::string table = kDomainTable;
     std::string from = kLeaseBoundsRow;
-    std::string to = AfterKey(kLeaseBoundsRow);
+    std::string to = AfterKey(kLeavingLeasesRow);
     std::optional<RowPage> page = co_await this->term->Rows().Read(
       std::move(table), std::move(from), std::move(to), aReason);
     co_return page;
   }
 
-  /** Reads the row for its revision and for the time of the store, and writes
-   * it on the condition of that revision: an earlier write whose answer was
-   * lost cannot take effect after this one. */
+  static const TableRow* FindRow(const RowPage& aPage, const std::string& aKey)
+  {
+    const auto found = std::find_if(
+      aPage.Rows().begin(), aPage.Rows().end(), [&aKey](const TableRow& aRow) {
+        return aRow.Key() == aKey;
+      });
+    return found == aPage.Rows().end() ? nullptr : &*found;
+  }
+
+  static LeaseBounds Decode(const RowPage& aPage, const std::string& aKey)
+  {
+    const TableRow* row = FindRow(aPage, aKey);
+    if (row == nullptr) {
+      return LeaseBounds();
+    }
+    Reason reason;
+    std::optional<LeaseBounds> bounds = DecodeLeaseBounds(row->Value(), reason);
+    if (!bounds) {
+      EventLine("lease_bounds_unreadable")
+        .Field("row", aKey)
+        .Field(reason)
+        .Emit();
+    }
+    return bounds.value_or(LeaseBounds());
+  }
+
+  static void AddRow(const RowPage& aPage,
+                     const std::string& aKey,
+                     const LeaseBounds& aBounds,
+                     std::vector<TableCheck>& aChecks,
+                     std::vector<TableWrite>& aWrites)
+  {
+    const TableRow* row = FindRow(aPage, aKey);
+    AddCheck(aChecks, kDomainTable, aKey, row == nullptr ? 0 : row->Revision());
+    AddWrite(aWrites, kDomainTable, aKey, EncodeLeaseBounds(aBounds));
+  }
+
+  /** Reads the rows for their revisions and for the time of the store, and
+   * writes them on the condition of those revisions: an earlier write whose
+   * answer was lost cannot take effect after this one. */
   boost::asio::awaitable<void> Store()
   {
     Reason reason;
     const Instant sent = Clock::now();
-    const std::optional<RowPage> page = co_await this->ReadRow(reason);
+    const std::optional<RowPage> page = co_await this->ReadRows(reason);
     if (!this->term->IsActive()) {
       co_return;
     }
@@ -106,16 +143,16 @@
       co_return;
     }
     const Instant now = Clock::now();
-    const LeaseBounds bounds = this->term->Domain().PlanLeaseBounds(
-      this->term->Number(), StoreClock(*page->StoreTimeMs(), sent, now), now);
+    const StoreClock clock(*page->StoreTimeMs(), sent, now);
+    const LeaseBounds bounds =
+      this->term->Domain().PlanLeaseBounds(this->term->Number(), clock, now);
+    const LeaseBounds leaving =
+      this->term->Domain().PlanLeavingLeases(this->term->Number(), clock, now);
     std::vector<TableCheck> checks;
     std::vector<TableWrite> writes;
     AddCheck(checks, kDomainTable, kTermRow, this->term->Revision());
-    AddCheck(checks,
-             kDomainTable,
-             kLeaseBoundsRow,
-             page->Rows().empty() ? 0 : page->Rows().front().Revision());
-    AddWrite(writes, kDomainTable, kLeaseBoundsRow, EncodeLeaseBounds(bounds));
+    AddRow(*page, kLeaseBoundsRow, bounds, checks, writes);
+    AddRow(*page, kLeavingLeasesRow, leaving, checks, writes);
     const TableTransaction transaction =
       MakeTransaction(std::move(checks), std::move(writes));
     const CommitAnswer answer =
@@ -127,6 +164,7 @@
     if (answer.Outcome() == WriteOutcome::kCommitted) {
       EventLine("lease_bounds_stored")
         .Field("workers", static_cast<std::int64_t>(bounds.size()))
+        .Field("leaving", static_cast<std::int64_t>(leaving.size()))
         .Field("term", this->term->Number())
         .Emit();
       co_return;
--- a/scheduling/store_rows.h
+++ b/scheduling/store_rows.h
@@ -53,6 +53,10 @@
  * relies on it, so a worker is withdrawn from this row before it is granted a
  * lease again. */
 inline const std::string kLeaseBoundsRow = "lease_bounds";
+/** Leaving workers to which the holder grants short leases only, with the time
+ * by which longer ones have expired. Like the row above, it binds the holder:
+ * a worker is withdrawn before it is granted a longer lease. */
+inline const std::string kLeavingLeasesRow = "leaving_leases";
 
 /** Key of the row in kJobTable that marks aJob as cancelled. */
 std::string
--- a/scheduling/worker_poller.h
+++ b/scheduling/worker_poller.h
@@ -101,7 +101,7 @@
     if (aWorker.Tasks().empty()) {
       return kIdlePollWait;
     }
-    return aWorker.LeavingSince() ? kLeavingPollWait : kPollWait;
+    return aWorker.HasShortLease() ? kLeavingPollWait : kPollWait;
   }
 
   boost::asio::awaitable<bool> PollOnce(WorkerName aWorker,
--- a/tests/scheduling/domain_fuzz_test.cpp
+++ b/tests/scheduling/domain_fuzz_test.cpp
@@ -32,6 +32,7 @@
   kTakeOver,
   kRestartWorker,
   kReplaceWorker,
+  kDrainWorker,
   kCutWorker,
   kHealWorkers,
   kStoreDown,
@@ -85,6 +86,7 @@
                                          { 1, Act::kTakeOver },
                                          { 1, Act::kRestartWorker },
                                          { 1, Act::kReplaceWorker },
+                                         { 1, Act::kDrainWorker },
                                          { 1, Act::kCutWorker },
                                          { 1, Act::kHealWorkers },
                                          { 1, Act::kStoreDown },
@@ -190,6 +192,9 @@
       case Act::kReplaceWorker:
         this->world.ReplaceWorker(worker);
         break;
+      case Act::kDrainWorker:
+        this->world.DrainWorker(worker, aAction.number % 3 > 0);
+        break;
       case Act::kCutWorker:
         this->world.cutOff.insert(worker);
         break;
@@ -332,6 +337,9 @@
     }
     player.world.TakeBack("d0");
     player.world.TakeBack("d1");
+    for (const std::string& worker : player.world.Workers()) {
+      player.world.DrainWorker(worker, false);
+    }
     const bool isSettled = player.world.Settle(kSettleMs);
     for (const std::string& violation : player.world.site.Violations()) {
       RC_LOG(violation);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -217,6 +217,8 @@
   std::swap(this->isHolderBlind, this->isNextBlind);
   this->domain->AdoptLeaseBounds(
     this->storedBounds, this->boundsKeptSince, this->ReadStoreClock());
+  this->domain->AdoptLeavingLeases(
+    this->storedLeaving, this->boundsKeptSince, this->ReadStoreClock());
   for (const auto& [name, worker] : this->site.workers) {
     this->domain->ListWorker(this->ListingOf(worker), this->Now());
   }
@@ -238,6 +240,8 @@
   if (this->domain->AreLeaseBoundsDue(this->Now())) {
     this->storedBounds = this->domain->PlanLeaseBounds(
       this->term, this->ReadStoreClock(), this->Now());
+    this->storedLeaving = this->domain->PlanLeavingLeases(
+      this->term, this->ReadStoreClock(), this->Now());
     this->domain->LeaseBoundsAnswered(WriteOutcome::kCommitted);
     ++this->boundWrites;
   }
@@ -452,11 +456,11 @@
 }
 
 void
-DomainWorld::DrainWorker(const std::string& aWorker)
+DomainWorld::DrainWorker(const std::string& aWorker, bool aIsLeaving)
 {
   SiteWorker& worker = this->site.workers.at(aWorker);
-  worker.isLeaving = true;
-  this->domain->ListWorker(this->ListingOf(worker, true), this->Now());
+  worker.isLeaving = aIsLeaving;
+  this->domain->ListWorker(this->ListingOf(worker, aIsLeaving), this->Now());
 }
 
 void
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -81,8 +81,9 @@
   void PollAll();
   /** Orders on their way are lost, or reach the next incarnation. */
   void RestartWorker(const std::string& aWorker, bool aKeepsOrders = false);
-  /** Lists the worker as leaving; it goes on until RemoveWorker(). */
-  void DrainWorker(const std::string& aWorker);
+  /** Lists the worker as leaving, or not any more; it goes on until
+   * RemoveWorker(). */
+  void DrainWorker(const std::string& aWorker, bool aIsLeaving = true);
   /** Ends the worker for good; nothing answers at its address any more, and it
    * is not listed to the next holder. */
   void RemoveWorker(const std::string& aWorker);
@@ -137,6 +138,7 @@
   std::int64_t revision = 0;
   std::int64_t term = 0;
   LeaseBounds storedBounds;
+  LeaseBounds storedLeaving;
   std::optional<DomainState> domain;
   PreemptionReservations reservations;
   std::vector<StartOrder> unsentStarts;
--- a/tests/scheduling/lease_bound_test.cpp
+++ b/tests/scheduling/lease_bound_test.cpp
@@ -69,6 +69,8 @@
   CPPUNIT_TEST_SUITE(LeaseBoundTest);
   CPPUNIT_TEST(WaitForLostWorkerDoesNotGrowWithTakeovers);
   CPPUNIT_TEST(WorkerLostWithItsHolderWaitsForRestartTimeAtMost);
+  CPPUNIT_TEST(LeavingWorkerLostWithItsHolderWaitsForShortLease);
+  CPPUNIT_TEST(WorkerThatStaysIsGrantedLongLeasesAgain);
   CPPUNIT_TEST(WorkerThatIsNotListedAnyMoreKeepsItsBound);
   CPPUNIT_TEST(WorkerThatAnswersAgainGetsNoLeaseWhileItsBoundIsStored);
   CPPUNIT_TEST(WorkerThatAnswersAgainKeepsItsRuns);
@@ -118,6 +120,48 @@
     }
   }
 
+  // Failure: a worker leaves, to which the holder granted short leases only,
+  // and the holder is lost with it. The next one waits for the longest lease.
+  void LeavingWorkerLostWithItsHolderWaitsForShortLease()
+  {
+    const DomainTiming timing;
+    DomainWorld world(2, 2, timing);
+    const std::string leaving = StartTask(world);
+    world.DrainWorker(leaving);
+    Run(world, timing.GrantedLease().count());
+    const std::int64_t lostMs = world.site.nowMs;
+    world.RemoveWorker(leaving);
+    const std::int64_t waited =
+      WaitThroughTakeovers(world, 1, 2500, false, lostMs);
+    CPPUNIT_ASSERT_LESSEQUAL(
+      (DomainTiming::kRenewalGrace + timing.LeavingLease()).count() + 1000,
+      waited);
+  }
+
+  // Failure: the store says that a worker gets short leases only while it is
+  // granted long ones again, and the next holder relies on the row.
+  void WorkerThatStaysIsGrantedLongLeasesAgain()
+  {
+    const DomainTiming timing;
+    DomainWorld world(2, 2, timing);
+    const std::string staying = StartTask(world);
+    world.DrainWorker(staying);
+    Run(world, 2000);
+    world.isStoreDown = true;
+    world.DrainWorker(staying, false);
+    Run(world, 2000);
+    const auto leaseLeft = [&world, &staying] {
+      return world.Domain()
+        .FindWorker(WorkerName(staying))
+        ->LeaseLeft(world.Now());
+    };
+    Run(world, timing.GrantedLease().count());
+    CPPUNIT_ASSERT(leaseLeft() <= timing.LeavingLease() + Milliseconds(500));
+    world.isStoreDown = false;
+    Run(world, 1000);
+    CPPUNIT_ASSERT(leaseLeft() > timing.LeavingLease() + Milliseconds(500));
+  }
+
   // Failure: a later holder never polls a worker that left the list, and waits
   // for it as if it had just been granted a lease.
   void WorkerThatIsNotListedAnyMoreKeepsItsBound()
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -165,6 +165,8 @@
     return;
   }
   position->second.SetWithheld(this->leaseBounds.MayBeStored(aListing.Name()));
+  position->second.SetShortLease(
+    this->leavingLeases.MayBeStored(aListing.Name()));
   for (const JobKey& key : this->active) {
     const TrackedJob& job = this->jobs.at(key);
     for (const auto& [number, unit] : job.OpenUnits()) {
@@ -360,8 +362,15 @@
   // Leases are granted only to workers that answer, so a bound that an earlier
   // holder stored holds however many holders came after it. It also covers
   // orders of that holder to an earlier incarnation of the worker.
-  return this->leaseBounds.StoredFor(aWorker).value_or(
-    this->renewedUntil + this->timing.GrantedLease() + kLeaseMargin);
+  if (const auto bound = this->leaseBounds.StoredFor(aWorker)) {
+    return *bound;
+  }
+  if (const auto longest = this->leavingLeases.StoredFor(aWorker)) {
+    return std::max(*longest,
+                    this->renewedUntil + this->timing.LeavingLease() +
+                      kLeaseMargin);
+  }
+  return this->renewedUntil + this->timing.GrantedLease() + kLeaseMargin;
 }
 
 bool
@@ -423,10 +432,74 @@
   this->UpdateWithheld();
 }
 
+std::map<WorkerName, Instant>
+DomainState::WantedLeavingLeases(Instant aNow) const
+{
+  std::map<WorkerName, Instant> wanted;
+  std::size_t bytes = 0;
+  const auto add = [&](const WorkerName& aWorker, Instant aUntil) {
+    bytes += aWorker.Text().size() + kBoundBytes;
+    if (bytes < kMaxBoundsBytes) {
+      wanted.emplace(aWorker, aUntil);
+    }
+  };
+  for (const auto& [name, until] : this->leavingLeases.Stored()) {
+    const auto found = this->workers.find(name);
+    const bool isAnswering =
+      found != this->workers.end() && found->second.IsAnswering();
+    // The next holder may still load the runs of a worker that is gone.
+    const bool isGone = !isAnswering && aNow < this->SilentSince(name) +
+                                                 this->timing.RestartTime();
+    if (isGone) {
+      add(name, until);
+    }
+  }
+  for (const auto& [name, worker] : this->workers) {
+    if (!worker.IsAnswering() || !worker.LeavingSince() ||
+        worker.IsReplaced()) {
+      continue;
+    }
+    const Instant until = aNow + worker.LeaseLeft(aNow);
+    const auto stored = this->leavingLeases.StoredFor(name);
+    // The estimate of what is left differs a little with each report. It grows
+    // by far more when an order to an earlier incarnation has brought a longer
+    // lease; the row is withdrawn then.
+    const Instant covered =
+      std::max(stored.value_or(until), aNow + this->timing.LeavingLease()) +
+      kLeaseMargin;
+    const bool isWanted = stored ? until <= covered : !worker.Tasks().empty();
+    if (isWanted) {
+      add(name, until);
+    }
+  }
+  return wanted;
+}
+
+void
+DomainState::AdoptLeavingLeases(const LeaseBounds& aStored,
+                                std::int64_t aKeptSince,
+                                const StoreClock& aClock)
+{
+  this->leavingLeases.Adopt(aStored, aKeptSince, aClock);
+  this->UpdateWithheld();
+}
+
+LeaseBounds
+DomainState::PlanLeavingLeases(std::int64_t aTerm,
+                               const StoreClock& aClock,
+                               Instant aNow)
+{
+  LeaseBounds planned =
+    this->leavingLeases.Plan(this->WantedLeavingLeases(aNow), aTerm, aClock);
+  this->UpdateWithheld();
+  return planned;
+}
+
 bool
 DomainState::AreLeaseBoundsDue(Instant aNow) const
 {
-  return this->leaseBounds.IsDue(this->WantedLeaseBounds(aNow));
+  return this->leaseBounds.IsDue(this->WantedLeaseBounds(aNow)) ||
+         this->leavingLeases.IsDue(this->WantedLeavingLeases(aNow));
 }
 
 LeaseBounds
@@ -444,6 +517,7 @@
 DomainState::LeaseBoundsAnswered(WriteOutcome aOutcome)
 {
   this->leaseBounds.Answered(aOutcome);
+  this->leavingLeases.Answered(aOutcome);
   this->UpdateWithheld();
 }
 
@@ -452,6 +526,7 @@
 {
   for (auto& [name, worker] : this->workers) {
     worker.SetWithheld(this->leaseBounds.MayBeStored(name));
+    worker.SetShortLease(this->leavingLeases.MayBeStored(name));
   }
 }
 
@@ -782,7 +857,7 @@
   if (!worker->IsIncarnationConfirmed()) {
     return 0;
   }
-  const Milliseconds lease = worker->LeavingSince()
+  const Milliseconds lease = worker->HasShortLease()
                                ? this->timing.LeavingLease()
                                : this->timing.GrantedLease();
   const std::int64_t until = worker->ClockAt(aNow) + lease.count();
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -129,14 +129,26 @@
   void AdoptLeaseBounds(const LeaseBounds& aStored,
                         std::int64_t aKeptSince,
                         const StoreClock& aClock);
-  /** Whether the stored bounds of the leases on unreachable workers have to
-   * change. */
+  /** Adopts which leaving workers have had short leases only under earlier
+   * holders, with the time by which longer ones have expired. */
+  void AdoptLeavingLeases(const LeaseBounds& aStored,
+                          std::int64_t aKeptSince,
+                          const StoreClock& aClock);
+  /** Whether the stored bounds of the leases on unreachable or leaving workers
+   * have to change. */
   bool AreLeaseBoundsDue(Instant aNow) const;
   /** The bounds to store now. A worker that is in them gets no lease until
    * LeaseBoundsAnswered() has shown that the store does not hold its bound. */
   LeaseBounds PlanLeaseBounds(std::int64_t aTerm,
                               const StoreClock& aClock,
                               Instant aNow);
+  /** The leaving workers to store now. A worker that is in them gets short
+   * leases only, until LeaseBoundsAnswered() has shown that the store does not
+   * hold it. */
+  LeaseBounds PlanLeavingLeases(std::int64_t aTerm,
+                                const StoreClock& aClock,
+                                Instant aNow);
+  /** Applies the outcome of the write of both plans. */
   void LeaseBoundsAnswered(WriteOutcome aOutcome);
   /** When the worker last answered this holder, or the start of the term when
    * it never did. */
@@ -242,6 +254,9 @@
                            std::int64_t aClockMs,
                            bool aIsFirst,
                            bool aIsRestarted);
+  /** Leaving workers that the store should hold, with the time by which longer
+   * leases than theirs have expired. */
+  std::map<WorkerName, Instant> WantedLeavingLeases(Instant aNow) const;
   void UpdateWithheld();
   const QueueName& CurrentQueueName(const AdmittedJob& aJob) const;
   void AllocateResources(const TrackedJob& aJob,
@@ -290,6 +305,7 @@
   /** Workers that were not listed when a job with runs on them was added. */
   std::set<WorkerName> unlistedPlaces;
   LeaseBoundRecord leaseBounds;
+  LeaseBoundRecord leavingLeases;
   std::int64_t longLeases = 0;
   std::map<TeamName, std::int64_t> guarantees;
   std::map<QueueAddress, QueueName> queueNames;
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -111,6 +111,14 @@
    * be stored. */
   void SetWithheld(bool aIsWithheld) { this->isWithheld = aIsWithheld; }
   bool IsWithheld() const { return this->isWithheld; }
+  /** Records whether the store may say that the worker gets short leases only.
+   */
+  void SetShortLease(bool aIsShort) { this->isShortStored = aIsShort; }
+  /** Whether the worker gets short leases only. */
+  bool HasShortLease() const
+  {
+    return this->leavingSince || this->isShortStored;
+  }
   void Acknowledge(std::int64_t aNumber) { this->acknowledged = aNumber; }
 
   void NoteSuccess();
@@ -147,6 +155,7 @@
   bool isIncarnationConfirmed = false;
   bool isPollFailed = false;
   bool isWithheld = false;
+  bool isShortStored = false;
   std::int64_t lastEnd = 0;
   std::int64_t acknowledged = 0;
   std::deque<UnstoredEnd> unstoredEnds;
