--- a/codecs/domain_owner_json.cpp
+++ b/codecs/domain_owner_json.cpp
@@ -8,6 +8,19 @@
 
 namespace sardinecourse {
 
+namespace {
+
+/** A time on the store's clock; 0 for a number that no store shows. */
+std::int64_t
+StoreTimeField(const nlohmann::json& aObject, const char* aName)
+{
+  constexpr std::int64_t kMaxStoreMs = std::int64_t{ 1 } << 53U;
+  const std::int64_t time = IntegerField(aObject, aName);
+  return time >= 0 && time <= kMaxStoreMs ? time : 0;
+}
+
+}
+
 std::string
 EncodeDomainOwner(const DomainOwner& aOwner)
 {
@@ -37,8 +50,8 @@
     .Renewal(IntegerField(*object, "renewal"))
     .IsReleased(BooleanField(*object, "released"))
     .BoundsKeptSince(IntegerField(*object, "bounds_kept_since"))
-    .RenewsUntilMs(IntegerField(*object, "renews_until_ms"))
-    .OthersUntilMs(IntegerField(*object, "others_until_ms"))
+    .RenewsUntilMs(StoreTimeField(*object, "renews_until_ms"))
+    .OthersUntilMs(StoreTimeField(*object, "others_until_ms"))
     .Build(aReason);
 }
 
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -455,15 +455,16 @@
     }
   }
   for (const auto& [name, worker] : this->workers) {
-    if (!worker.IsAnswering() || !worker.LeavingSince() ||
-        worker.IsReplaced()) {
+    // What is stored of the former incarnation does not hold for the next one.
+    const bool isSameProcess = !worker.HasRestarted() && !worker.IsReplaced();
+    if (!worker.IsAnswering() || !worker.LeavingSince() || !isSameProcess) {
       continue;
     }
     const Instant until = aNow + worker.LeaseLeft(aNow);
     const auto stored = this->leavingLeases.StoredFor(name);
-    // The estimate of what is left differs a little with each report. It grows
-    // by far more when an order to an earlier incarnation has brought a longer
-    // lease; the row is withdrawn then.
+    // The estimate of what is left differs a little with each report. It is far
+    // longer when the worker may have restarted before its first report to this
+    // holder; the row is withdrawn then.
     const Instant covered =
       std::max(stored.value_or(until), aNow + this->timing.LeavingLease()) +
       kLeaseMargin;
--- a/zones/tracked_worker.cpp
+++ b/zones/tracked_worker.cpp
@@ -72,6 +72,7 @@
   }
   this->incarnation = aIncarnation;
   this->hasAnswered = true;
+  this->hasRestarted = this->hasRestarted || isRestarted;
   this->isReplaced = false;
   this->isIncarnationConfirmed = true;
   this->isPollFailed = false;
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -34,6 +34,8 @@
   /** Whether the worker has answered this holder; from then on it refuses
    * orders of earlier holders. */
   bool HasAnswered() const { return this->hasAnswered; }
+  /** Whether the worker has restarted since its first answer. */
+  bool HasRestarted() const { return this->hasRestarted; }
   Instant LastReport() const { return this->lastReport; }
   /** Records a report; returns whether the worker has restarted since the
    * previous one. aClockMs is the worker's clock. */
@@ -142,6 +144,7 @@
   std::optional<Instant> leavingSince;
   std::optional<Instant> staysUntil;
   bool hasAnswered = false;
+  bool hasRestarted = false;
   bool isReplaced = false;
   std::int64_t incarnation = 0;
   std::int64_t clockMs = 0;
