Cut workers off and restart them behind the cut in the soak

Change: from a generator of its own, so that the other faults of a seed stay as they are, workers are cut off, restart behind the cut, are reached again and are cut off again. Orders that a cut holds up for 1.5 s at most reach the next incarnation. At the end each host must give 0 pending jobs within 5 s.

--- a/tests/harness/site_deployment.cpp
+++ b/tests/harness/site_deployment.cpp
@@ -243,6 +243,17 @@
   return body.is_object() ? body.value("State", "") : "";
 }
 
+std::optional<std::int64_t>
+SiteDeployment::PendingOf(std::size_t aHost) const
+{
+  const auto answer = this->Send(aHost, "GET", PathOf(""), "k1", "");
+  const json body =
+    answer ? json::parse(answer->body, nullptr, false) : json::object();
+  const bool isCount = body.is_object() && body.contains("Pending");
+  return isCount ? std::optional(body.value("Pending", std::int64_t{ -1 }))
+                 : std::nullopt;
+}
+
 bool
 SiteDeployment::WaitForState(std::size_t aHost,
                              const std::string& aJob,
--- a/tests/harness/site_deployment.h
+++ b/tests/harness/site_deployment.h
@@ -84,6 +84,8 @@
            const std::string& aKey = "k1") const;
   /** State of a job as the host reports it; empty without one. */
   std::string StateOf(std::size_t aHost, const std::string& aJob) const;
+  /** Number of pending jobs that the host gives; empty without an answer. */
+  std::optional<std::int64_t> PendingOf(std::size_t aHost) const;
   bool WaitForState(std::size_t aHost,
                     const std::string& aJob,
                     const std::string& aState) const;
--- a/tests/soak/domain_soak.cpp
+++ b/tests/soak/domain_soak.cpp
@@ -55,6 +55,7 @@
     if (!report.at("running").empty()) {
       this->AddViolation("still running: " + report.at("running").dump());
     }
+    this->CheckPending();
     return this->hasPassed;
   }
 
@@ -127,6 +128,23 @@
     }
   }
 
+  /** No accepted job waits any more, and each host must say so soon. */
+  void CheckPending()
+  {
+    constexpr Milliseconds kVisibleTime{ 5000 };
+    for (std::size_t host = 0; host < this->site->Hosts(); ++host) {
+      const bool isNone = WaitUntil(kVisibleTime, [this, host] {
+        return this->site->PendingOf(host) == 0;
+      });
+      if (!isNone) {
+        const auto pending = this->site->PendingOf(host);
+        this->AddViolation("host" + std::to_string(host) + " gives " +
+                           (pending ? std::to_string(*pending) : "no") +
+                           " pending jobs, but none waits");
+      }
+    }
+  }
+
   void AddViolation(const std::string& aViolation)
   {
     std::cerr << "violation: " << aViolation << '\n';
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -21,6 +21,7 @@
   : site(&aSite)
   , random(aSeed)
   , evacuationRandom(aSeed)
+  , cutRandom(aSeed)
   , startedAt(Clock::now())
   , hasProcessFault(aSite.Hosts(), false)
 {
@@ -32,6 +33,8 @@
   std::uniform_int_distribution<int> evacuationPause(1000, 6000);
   Instant next = Clock::now();
   Instant nextEvacuation = next;
+  std::uniform_int_distribution<int> cutPause(1000, 5000);
+  Instant nextCuts = next;
   while (Clock::now() < aUntil) {
     this->EndDue(Clock::now());
     if (Clock::now() >= next) {
@@ -43,6 +46,10 @@
       nextEvacuation =
         Clock::now() + Milliseconds(evacuationPause(this->evacuationRandom));
     }
+    if (Clock::now() >= nextCuts) {
+      this->BeginWorkerCuts();
+      nextCuts = Clock::now() + Milliseconds(cutPause(this->cutRandom));
+    }
     std::this_thread::sleep_for(kPollInterval);
   }
 }
@@ -215,6 +222,40 @@
     });
 }
 
+void
+SoakFaults::CutWorker(const std::string& aWorker, bool aIsCut)
+{
+  this->Log((aIsCut ? "cut off " : "reach ") + aWorker);
+  this->site->Control("cut", { { "worker", aWorker }, { "is_cut", aIsCut } });
+}
+
+void
+SoakFaults::BeginWorkerCuts()
+{
+  const nlohmann::json report = this->site->Control("report", {});
+  if (!report.is_object() || report["workers"].empty()) {
+    return;
+  }
+  const nlohmann::json& workers = report["workers"];
+  const std::string worker = workers[this->cutRandom() % workers.size()];
+  const auto draw = [this](int aMinMs, int aMaxMs) {
+    std::uniform_int_distribution<int> time(aMinMs, aMaxMs);
+    return Milliseconds(time(this->cutRandom));
+  };
+  this->CutWorker(worker, true);
+  Milliseconds at = draw(50, 700);
+  this->EndAfter(at, [this, worker] {
+    this->Log("restart " + worker);
+    this->site->Control("restart", { { "worker", worker } });
+  });
+  at += draw(100, 900);
+  this->EndAfter(at, [this, worker] { this->CutWorker(worker, false); });
+  at += draw(100, 1500);
+  this->EndAfter(at, [this, worker] { this->CutWorker(worker, true); });
+  at += draw(1000, 9000);
+  this->EndAfter(at, [this, worker] { this->CutWorker(worker, false); });
+}
+
 void
 SoakFaults::EndDue(Instant aNow)
 {
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -41,6 +41,9 @@
   void BeginStoreFault();
   void BeginWorkerFault();
   void BeginEvacuation();
+  /** A worker is cut off, restarts behind the cut, and is cut off again. */
+  void BeginWorkerCuts();
+  void CutWorker(const std::string& aWorker, bool aIsCut);
   void EndDue(Instant aNow);
   void EndAfter(Milliseconds aTime, std::function<void()> aEnd);
   Milliseconds DrawTime(int aMinMs, int aMaxMs);
@@ -53,6 +56,8 @@
   /** Evacuations are drawn apart, so that a seed's other faults stay the same.
    */
   std::mt19937 evacuationRandom;
+  /** The same for the cuts of workers. */
+  std::mt19937 cutRandom;
   Instant startedAt;
   std::vector<FaultEnd> faultEnds;
   std::vector<bool> hasProcessFault;
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -20,6 +20,9 @@
 constexpr Milliseconds kTick{ 50 };
 /** Longer than any client's timeout, so that the call hangs for the client. */
 constexpr Milliseconds kHangTime{ 20'000 };
+/** An order that a cut holds up for longer is lost, since its caller has closed
+ * the connection. */
+constexpr Milliseconds kMaxHeldUp{ 1500 };
 constexpr int kWorkersPerRack = 3;
 /** Data centres of the workers that the stand-in starts with. */
 constexpr int kDataCentres = 2;
@@ -203,7 +206,12 @@
   if (this->faults.value("silent", "") == name) {
     co_await this->Pause(kHangTime);
   }
-  // The worker may have been replaced during the pause.
+  const Instant arrived = Clock::now();
+  co_await this->WaitForLink(name);
+  if (Clock::now() > arrived + kMaxHeldUp) {
+    co_return Answer(503, json::object());
+  }
+  // The worker may have been replaced or have restarted meanwhile.
   const auto found = this->simulation.workers.find(name);
   if (!body.is_object() || found == this->simulation.workers.end()) {
     co_return Answer(421, json::object());
@@ -233,9 +241,22 @@
     this->faults["lose_orders"] = lossesLeft - 1;
     co_await this->Pause(kHangTime);
   }
+  co_await this->WaitForLink(name);
   co_return answer;
 }
 
+asio::awaitable<void>
+SiteService::WaitForLink(std::string aWorker)
+{
+  const auto isCutOff = [this, &aWorker] {
+    const auto found = this->simulation.workers.find(aWorker);
+    return found != this->simulation.workers.end() && found->second.isCutOff;
+  };
+  while (isCutOff()) {
+    co_await this->Pause(Milliseconds(20));
+  }
+}
+
 bool
 SiteService::HasIncarnation(const std::string& aWorker,
                             std::int64_t aIncarnation) const
@@ -413,6 +434,7 @@
   this->simulation.workers.erase(aWorker);
   next.Restart(++this->lastIncarnation, this->simulation.nowMs);
   next.name = "w" + std::to_string(this->lastIncarnation);
+  next.isCutOff = false;
   this->Register(next);
   this->simulation.workers[next.name] = std::move(next);
 }
@@ -440,6 +462,8 @@
     worker.isLeaving = true;
     worker.remainingMs = aBody.value("remaining_ms", std::int64_t{ 0 });
     this->Register(worker);
+  } else if (aCommand == "cut") {
+    worker.isCutOff = aBody.value("is_cut", true);
   } else if (aCommand == "reach") {
     worker.isReachable = aBody.value("reachable", true);
   } else if (aCommand == "exit") {
--- a/tests/stand_ins/site_service.h
+++ b/tests/stand_ins/site_service.h
@@ -28,11 +28,11 @@
  * a job, "evacuate" and "take_back" apply to a data centre, "faults" replaces
  * the faults {store: refuse|hang, silent: WORKER, lose_commits: COUNT,
  * lose_orders: COUNT}, "compact" drops the store's history; "restart",
- * "replace", "leave", "exit" and "reach" apply to a worker. Each of them, and
- * "report", answers with the workers, runs, starts and violations. "job",
- * "follow" and "unfollow", which say whether a job must not idle, answer with
- * nothing; "judge" answers whether a job is done or failed; "idle" with the
- * jobs that idle.
+ * "replace", "leave", "exit", "cut" and "reach" apply to a worker. Each of
+ * them, and "report", answers with the workers, runs, starts and violations.
+ * "job", "follow" and "unfollow", which say whether a job must not idle, answer
+ * with nothing; "judge" answers whether a job is done or failed; "idle" with
+ * the jobs that idle.
  */
 class SiteService
 {
@@ -46,6 +46,8 @@
 private:
   boost::asio::awaitable<HttpAnswer> HandleStore(HttpRequest aRequest);
   boost::asio::awaitable<HttpAnswer> HandleFeed(HttpRequest aRequest);
+  /** Waits while the worker is cut off. */
+  boost::asio::awaitable<void> WaitForLink(std::string aWorker);
   boost::asio::awaitable<HttpAnswer> HandleWorker(HttpRequest aRequest);
   HttpAnswer HandleControl(const HttpRequest& aRequest);
   /** Commands about a job; empty for any other command. */
--- a/tests/stand_ins/site_worker.h
+++ b/tests/stand_ins/site_worker.h
@@ -77,6 +77,8 @@
   std::int64_t remainingMs = 0;
   /** False while no host can reach the worker; its runs go on. */
   bool isReachable = true;
+  /** Orders that arrive wait for the end of the cut, and so do answers. */
+  bool isCutOff = false;
   /** An unhealthy worker refuses all starts. */
   bool isUnhealthy = false;
   std::int64_t refusedStarts = 0;
