Take the age of a worker from its start and not from its clock

Cause: after a takeover the longest lease was counted for workers whose clock was below 20 s. Change: the age is the time since `born`, by the host's time of day, with 5 s for its error; a start in the future counts as young. The stand-in's workers are identified by the Unix time of their start.

--- a/contracts/worker_report_builder.cpp
+++ b/contracts/worker_report_builder.cpp
@@ -20,6 +20,13 @@
   return *this;
 }
 
+WorkerReportBuilder&
+WorkerReportBuilder::Age(std::optional<Milliseconds> aAge)
+{
+  this->value.age = aAge;
+  return *this;
+}
+
 WorkerReportBuilder&
 WorkerReportBuilder::Running(std::vector<RunningTask> aRunning)
 {
--- a/contracts/worker_report_builder.h
+++ b/contracts/worker_report_builder.h
@@ -15,6 +15,7 @@
 public:
   WorkerReportBuilder& Incarnation(std::int64_t aIncarnation);
   WorkerReportBuilder& ClockMs(std::int64_t aClockMs);
+  WorkerReportBuilder& Age(std::optional<Milliseconds> aAge);
   WorkerReportBuilder& Running(std::vector<RunningTask> aRunning);
   WorkerReportBuilder& Ended(std::vector<EndedTask> aEnded);
   WorkerReportBuilder& IsTruncated(bool aIsTruncated);
--- a/core/wall_time.h
+++ b/core/wall_time.h
@@ -7,8 +7,8 @@
 
 namespace sardinecourse {
 
-/** A point in time on this host's wall clock. For display only; must not be
- * compared with the clock of another host. */
+/** A point in time on this host's wall clock, which differs from those of other
+ * machines by up to some seconds. */
 using WallTime = std::chrono::sys_time<Milliseconds>;
 
 /** Current wall-clock time of this host, in milliseconds. */
--- a/tests/platform/codecs_test.cpp
+++ b/tests/platform/codecs_test.cpp
@@ -231,6 +231,7 @@
       R"({"ClockMs":1,"born":1e300,"Running":[
         ["j.0.1.17",1e300,"c",1e300],["j.0.1.18",1,"c",4294967337]],
         "Ended":[[-1e300,"j.0.1.9",1,"done",""]]})",
+      WallTime(),
       reason);
     CPPUNIT_ASSERT(report);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 2 }, report->Running().size());
@@ -242,7 +243,8 @@
          { "9223372036854775807", "18446744073709551615" }) {
       CPPUNIT_ASSERT_MESSAGE(
         clock,
-        !DecodeReport(R"({"ClockMs":)" + std::string(clock) + "}", reason));
+        !DecodeReport(
+          R"({"ClockMs":)" + std::string(clock) + "}", WallTime(), reason));
     }
   }
 
@@ -266,8 +268,10 @@
                 R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
       }
       Reason reason;
-      const auto report = DecodeReport(
-        R"({"ClockMs":1,"Running":[],"Ended":[)" + rows + "]}", reason);
+      const auto report =
+        DecodeReport(R"({"ClockMs":1,"Running":[],"Ended":[)" + rows + "]}",
+                     WallTime(),
+                     reason);
       CPPUNIT_ASSERT(report.has_value());
       CPPUNIT_ASSERT_EQUAL(ends == 500, report->IsTruncated());
     }
@@ -279,9 +283,11 @@
     const auto report = DecodeReport(
       R"({"ClockMs":482113,"born":1700,"Running":[["j.0.1.17",2,"c",41]],
         "Ended":[[58,"j.0.1.9",1,"done",""],[59,"j.0.1.8",1,"odd",""]]})",
+      WallTime(Milliseconds(2000)),
       reason);
     CPPUNIT_ASSERT(report);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1700 }, report->Incarnation());
+    CPPUNIT_ASSERT(report->Age() == Milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 482113 }, report->ClockMs());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, report->Running().size());
     CPPUNIT_ASSERT_EQUAL(41, report->Running()[0].Percent());
--- a/tests/platform/decoder_fuzz_test.cpp
+++ b/tests/platform/decoder_fuzz_test.cpp
@@ -73,7 +73,7 @@
       R"({"ClockMs":482113,"born":1700,"Running":[["j.0.1.17",2,"c",41]],
       "Ended":[[58,"j.0.1.9",1,"done",""]]})";
     Check("a report", sample, [](const std::string& aText, Reason& aReason) {
-      return DecodeReport(aText, aReason).has_value();
+      return DecodeReport(aText, WallTime(), aReason).has_value();
     });
   }
 
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -81,6 +81,7 @@
   return Valid(WorkerReportBuilder()
                  .Incarnation(aWorker.incarnation)
                  .ClockMs(aWorker.ClockAt(aNowMs))
+                 .Age(Milliseconds(aNowMs - aWorker.startedMs))
                  .Running(std::move(running))
                  .Ended(std::move(ended))
                  .IsTruncated(isTruncated));
--- a/tests/stand_ins/site_service.cpp
+++ b/tests/stand_ins/site_service.cpp
@@ -1,5 +1,6 @@
 #include "tests/stand_ins/site_service.h"
 
+#include "core/wall_time.h"
 #include "links/http_target.h"
 
 #include <algorithm>
@@ -70,7 +71,7 @@
     worker.rack = "r1-" + std::to_string(rack);
     worker.dataCentre = "zone-" + std::to_string(rack % kDataCentres);
     worker.address = aAddress;
-    worker.incarnation = ++this->lastIncarnation;
+    worker.incarnation = this->NextIncarnation();
     this->simulation.workers[worker.name] = worker;
     this->Register(worker);
   }
@@ -336,7 +337,7 @@
     worker.stopDelayMs = aBody.value("stop_ms", worker.stopDelayMs);
     worker.runTimeFactor =
       speeds.at(static_cast<std::size_t>(index) % speeds.size());
-    worker.incarnation = ++this->lastIncarnation;
+    worker.incarnation = this->NextIncarnation();
     this->Register(worker);
     this->simulation.workers[worker.name] = std::move(worker);
   }
@@ -426,13 +427,22 @@
   return Answer(200, json::object());
 }
 
+/** A worker is identified by the Unix time of its start, in ms. */
+std::int64_t
+SiteService::NextIncarnation()
+{
+  this->lastIncarnation =
+    std::max(this->lastIncarnation + 1, WallNow().time_since_epoch().count());
+  return this->lastIncarnation;
+}
+
 /** Replaces a worker by a new incarnation under another name. */
 void
 SiteService::Replace(const std::string& aWorker)
 {
   SiteWorker next = this->simulation.workers.at(aWorker);
   this->simulation.workers.erase(aWorker);
-  next.Restart(++this->lastIncarnation, this->simulation.nowMs);
+  next.Restart(this->NextIncarnation(), this->simulation.nowMs);
   next.name = "w" + std::to_string(this->lastIncarnation);
   next.isCutOff = false;
   this->Register(next);
@@ -453,7 +463,7 @@
   }
   SiteWorker& worker = found->second;
   if (aCommand == "restart") {
-    worker.Restart(++this->lastIncarnation, this->simulation.nowMs);
+    worker.Restart(this->NextIncarnation(), this->simulation.nowMs);
     worker.isReachable = true;
     this->Register(worker);
   } else if (aCommand == "replace") {
--- a/tests/stand_ins/site_service.h
+++ b/tests/stand_ins/site_service.h
@@ -49,6 +49,7 @@
   /** Waits while the worker is cut off. */
   boost::asio::awaitable<void> WaitForLink(std::string aWorker);
   boost::asio::awaitable<HttpAnswer> HandleWorker(HttpRequest aRequest);
+  std::int64_t NextIncarnation();
   HttpAnswer HandleControl(const HttpRequest& aRequest);
   /** Commands about a job; empty for any other command. */
   std::optional<HttpAnswer> HandleJobControl(const std::string& aCommand,
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -28,8 +28,9 @@
 constexpr Milliseconds kArchiveDelay{ 2000 };
 /** Age from which no order to an earlier incarnation of a worker can exceed the
  * granted lease. A holder learns of a restart, or stops renewing, within the
- * time of a poll (2.5 s); the order may be carried out kMaxOrderDelay later. */
-constexpr Milliseconds kMinSettledAge{ 20'000 };
+ * time of a poll (2.5 s); the order may be carried out kMaxOrderDelay later.
+ * The rest covers differences between times of day. */
+constexpr Milliseconds kMinSettledAge{ 25'000 };
 /** Covers workers whose clocks run 2% slow, over the longest lease. */
 constexpr Milliseconds kLeaseMargin{ 500 };
 /** Time without an answer after which the bound of a worker's leases is stored.
@@ -598,7 +599,7 @@
   const bool isFirst = !worker->HasAnswered();
   const bool isRestarted =
     worker->RecordAnswer(aReport.Incarnation(), aReport.ClockMs(), aReceived);
-  this->RecordEarlierLeases(*worker, aReport.ClockMs(), isFirst, isRestarted);
+  this->RecordEarlierLeases(*worker, aReport, isFirst, isRestarted);
   if ((isFirst || isRestarted) && this->paces) {
     this->paces->BeginIncarnation(
       worker->Listing().Service(), aWorker, aReport.Incarnation(), aReceived);
@@ -623,7 +624,7 @@
 
 void
 DomainState::RecordEarlierLeases(TrackedWorker& aWorker,
-                                 std::int64_t aClockMs,
+                                 const WorkerReport& aReport,
                                  bool aIsFirst,
                                  bool aIsRestarted)
 {
@@ -631,17 +632,17 @@
   // was sent to. For another one it may lie far ahead, and then only the
   // worker's own maximum bounds the lease.
   const bool isRenewedLate = aWorker.Fence().NoteAnswer(aIsRestarted);
-  // A worker's clock starts with its process, so it shows the age. Orders of
-  // earlier holders are refused from this answer on.
-  const bool isYoung = aClockMs < kMinSettledAge.count();
+  // Orders of earlier holders are refused from this answer on.
+  const bool isYoung = !aReport.Age() || *aReport.Age() < kMinSettledAge;
+  const std::int64_t clockMs = aReport.ClockMs();
   if (isRenewedLate || aIsRestarted || (aIsFirst && isYoung)) {
-    aWorker.RecordLease(aClockMs + this->timing.WorkerLease().count());
+    aWorker.RecordLease(clockMs + this->timing.WorkerLease().count());
     ++this->longLeases;
   } else if (aIsFirst) {
-    aWorker.RecordLease(aClockMs + this->timing.GrantedLease().count());
+    aWorker.RecordLease(clockMs + this->timing.GrantedLease().count());
   }
   if (aWorker.Fence().MayBeLate()) {
-    aWorker.RecordLateLease(aClockMs + DomainTiming::kMaxOrderDelay.count() +
+    aWorker.RecordLateLease(clockMs + DomainTiming::kMaxOrderDelay.count() +
                             this->timing.WorkerLease().count());
   }
 }
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -251,7 +251,7 @@
   /** Records the longest lease that earlier orders may have brought a worker
    * which has restarted, or which answers this holder for the first time. */
   void RecordEarlierLeases(TrackedWorker& aWorker,
-                           std::int64_t aClockMs,
+                           const WorkerReport& aReport,
                            bool aIsFirst,
                            bool aIsRestarted);
   /** Leaving workers that the store should hold, with the time by which longer
