--- a/scheduling/lease_bound_writer.h
+++ b/scheduling/lease_bound_writer.h
@@ -112,6 +112,7 @@
     return bounds.value_or(LeaseBounds());
   }
 
+  /** Adds the write of a row, on the condition of its revision in aPage. */
   static void AddRow(const RowPage& aPage,
                      const std::string& aKey,
                      const LeaseBounds& aBounds,
--- a/zones/domain_lease.h
+++ b/zones/domain_lease.h
@@ -67,13 +67,15 @@
   auto operator<=>(const DomainLease&) const = default;
 
 private:
-  /** Sets what the rows of all terms of this process have in common. */
+  /** A row of this process that renews workers' leases until aRenewsUntil. */
   DomainOwnerBuilder MakeOwner(Instant aRenewsUntil) const;
-  /** Whether the row's process is known to have ended its term; set, it has
-   * ended by that time. */
+  /** By when the process that the row names has ended its term; empty while it
+   * may go on. */
   std::optional<Instant> OwnerGoneSince(Instant aNow) const;
   /** Whether the row says until when its holder and the ones before renew. */
   bool HasRenewalTimes() const;
+  /** For the row of a takeover at aNow: the time on the store's clock after
+   * which no holder before it renews a worker's lease; 0 when not known. */
   std::int64_t OthersUntilMs(Instant aNow) const;
 
   HostName self;
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -51,8 +51,8 @@
 
   /** Records a lease that was ordered; aUntilMs is on the worker's clock. */
   void RecordLease(std::int64_t aUntilMs);
-  /** Records a lease that is possible only as long as orders to an earlier
-   * incarnation may still be carried out. */
+  /** Records a lease that the worker may have only while orders to an earlier
+   * incarnation may still be carried out; see OrderFence::MayBeLate(). */
   void RecordLateLease(std::int64_t aUntilMs);
   /** Time until every lease that was ordered has certainly expired; negative
    * afterwards. Meaningless before the worker's first answer. */
