Log what holds a job with nothing running, and why its runs were stopped

The users' record of the incident has stopped runs and a job that then had nothing running, and can't say why for either: the cause of a stop stands in the line of the order only, and what a unit waits for was known to the holder at that moment only.

run_ended has the cause of the stop.

--- a/scheduling/decision_events.cpp
+++ b/scheduling/decision_events.cpp
@@ -1,6 +1,5 @@
 #include "scheduling/decision_events.h"
 
-#include "contracts/ended_task.h"
 #include "contracts/event_names.h"
 #include "core/reason.h"
 #include "scheduling/event_line.h"
@@ -10,8 +9,10 @@
 #include "zones/pace/pace_change.h"
 #include "zones/placed_unit.h"
 #include "zones/preempted_unit.h"
+#include "zones/reported_end.h"
 #include "zones/start_order.h"
 #include "zones/stop_order.h"
+#include "zones/waits/idle_job.h"
 
 #include <cmath>
 
@@ -139,13 +140,44 @@
 }
 
 void
-LogEnd(const WorkerName& aWorker, const EndedTask& aEnd)
+LogEnd(const WorkerName& aWorker, const ReportedEnd& aReported)
 {
+  const EndedTask& end = aReported.end;
   EventLine line("run_ended");
-  AddTask(line, aEnd.Task(), aEnd.Run());
+  AddTask(line, end.Task(), end.Run());
   line.Field("worker", aWorker.Text())
-    .Field("how", RunOutcomeName(aEnd.Outcome()))
-    .Emit();
+    .Field("how", RunOutcomeName(end.Outcome()));
+  // The log of the order may be lost, or belong to another host.
+  if (end.Outcome() == RunOutcome::kStopped) {
+    line.Field("cause",
+               aReported.cause == StopCause::kNone
+                 ? "earlier_term"
+                 : StopCauseName(aReported.cause));
+  }
+  line.Emit();
+}
+
+void
+LogIdleJob(const IdleJob& aIdle, Instant aNow, std::int64_t aTerm)
+{
+  const WaitCause& cause = aIdle.cause;
+  EventLine line("job_idle");
+  line.Field("job", aIdle.job.Text())
+    .Field("priority", aIdle.priority)
+    .Field("idle_ms", aIdle.idle.count())
+    .Field("reason", WaitReasonName(cause.reason));
+  if (!cause.worker.Empty()) {
+    line.Field("worker", cause.worker.Text());
+  }
+  if (cause.until) {
+    line.Field(
+      "until_ms",
+      std::chrono::duration_cast<Milliseconds>(*cause.until - aNow).count());
+  }
+  if (cause.tasks > 0) {
+    line.Field("needs", cause.tasks).Field("fits", aIdle.fitting);
+  }
+  line.Field("term", aTerm).Emit();
 }
 
 void
--- a/scheduling/decision_events.h
+++ b/scheduling/decision_events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/instant.h"
 #include "core/names.h"
 #include "links/worker_orders.h"
 #include "zones/pace/pace_class.h"
@@ -10,7 +11,6 @@
 
 namespace sardinecourse {
 
-class EndedTask;
 class Reason;
 class StartOrder;
 class StopOrder;
@@ -20,6 +20,8 @@
 struct GivenUpRuns;
 struct KindPair;
 struct PaceChange;
+struct IdleJob;
+struct ReportedEnd;
 
 /** Event lines for a holder's decisions on units, for the outcomes of its
  * orders and for ended runs; aTerm is the holder's fencing token. */
@@ -42,7 +44,10 @@
               std::size_t aChanged,
               std::int64_t aTerm);
 void
-LogEnd(const WorkerName& aWorker, const EndedTask& aEnd);
+LogEnd(const WorkerName& aWorker, const ReportedEnd& aReported);
+/** aNow is the instant from which the end of the wait is counted. */
+void
+LogIdleJob(const IdleJob& aIdle, Instant aNow, std::int64_t aTerm);
 void
 LogStart(const StartOrder& aStart,
          std::int64_t aTerm,
--- a/scheduling/domain_holder.h
+++ b/scheduling/domain_holder.h
@@ -19,6 +19,7 @@
 #include "scheduling/worker_poller.h"
 #include "zones/domain_pass.h"
 #include "zones/preemption_reservations.h"
+#include "zones/waits/idle_job_watch.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <map>
@@ -165,6 +166,17 @@
     this->sender.SendStops(decisions.stops);
     this->sender.Stage(std::move(decisions.starts));
     this->writer.Wake();
+    this->ReportIdleJobs(now);
+  }
+
+  /** Logs the jobs that have had nothing running for a while. */
+  void ReportIdleJobs(Instant aNow)
+  {
+    for (const IdleJob& idle : this->idleJobs.Observe(this->Domain(), aNow)) {
+      LogIdleJob(idle, aNow, this->Number());
+    }
+    this->Metrics().SetIdleJobs(this->idleJobs.Counts(),
+                                this->idleJobs.Longest());
   }
 
   /** Logs when starts begin to wait for a confirmation of the evacuated data
@@ -223,6 +235,7 @@
   DomainPolicy policy;
   bool areStartsWithheld = false;
   PreemptionReservations reservations;
+  IdleJobWatch idleJobs;
   WorkerPoller<Term> poller;
   DomainFeeds<Term, Schema> feeds;
   OrderSender<Term> sender;
--- a/scheduling/domain_metrics.cpp
+++ b/scheduling/domain_metrics.cpp
@@ -30,6 +30,8 @@
   "jobs_not_loaded",     "starts_withheld",   "pace_changes",
   "disturbance_changes", "backlog_refusals",  "long_leases"
 };
+constexpr std::size_t kWaitReasons =
+  static_cast<std::size_t>(WaitReason::kNoRoom) + 1;
 /** Higher priorities are counted with the last one. */
 constexpr int kPriorities = 4;
 constexpr std::array kBoundsSeconds{ 0.005, 0.01, 0.02, 0.05, 0.1,  0.2,
@@ -70,6 +72,8 @@
   decltype(MakeSilences()) silences = MakeSilences();
   std::array<std::atomic<std::uint64_t>, kEvents.size()> events{};
   std::atomic<std::size_t> closedDataCentres = 0;
+  std::array<std::atomic<std::int64_t>, kWaitReasons> idleJobs{};
+  std::atomic<std::int64_t> longestIdleMs = 0;
 };
 
 DomainMetrics::Event
@@ -125,6 +129,19 @@
   this->series->closedDataCentres.store(aCount, std::memory_order_relaxed);
 }
 
+void
+DomainMetrics::SetIdleJobs(const std::map<WaitReason, std::int64_t>& aCounts,
+                           Milliseconds aLongest)
+{
+  for (std::size_t reason = 0; reason < kWaitReasons; ++reason) {
+    const auto found = aCounts.find(static_cast<WaitReason>(reason));
+    this->series->idleJobs.at(reason).store(
+      found == aCounts.end() ? 0 : found->second, std::memory_order_relaxed);
+  }
+  this->series->longestIdleMs.store(aLongest.count(),
+                                    std::memory_order_relaxed);
+}
+
 void
 DomainMetrics::Count(Event aEvent)
 {
@@ -152,6 +169,23 @@
   text.Value(kClosed,
              "",
              this->series->closedDataCentres.load(std::memory_order_relaxed));
+  constexpr std::string_view kIdleJobs = "sardinecourse_jobs_idle";
+  text.Type(kIdleJobs, "gauge");
+  for (std::size_t reason = 0; reason < kWaitReasons; ++reason) {
+    const std::string_view name =
+      WaitReasonName(static_cast<WaitReason>(reason));
+    text.Value(kIdleJobs,
+               "reason=\"" + std::string(name) + '"',
+               this->series->idleJobs.at(reason).load());
+  }
+  constexpr std::string_view kLongestIdle =
+    "sardinecourse_jobs_idle_longest_seconds";
+  text.Type(kLongestIdle, "gauge");
+  text.Value(kLongestIdle,
+             "",
+             std::chrono::duration<double>(
+               Milliseconds(this->series->longestIdleMs.load()))
+               .count());
   constexpr std::string_view kCallSeconds = "sardinecourse_call_seconds";
   text.Type(kCallSeconds, "histogram");
   for (int call = 0; call < kCalls; ++call) {
--- a/scheduling/domain_metrics.h
+++ b/scheduling/domain_metrics.h
@@ -4,10 +4,12 @@
 #include "contracts/job_reply.h"
 #include "contracts/run_outcome.h"
 #include "core/instant.h"
+#include "zones/waits/wait_reason.h"
 
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -66,6 +68,10 @@
   void RecordGivenUp(std::int64_t aRuns, Milliseconds aSilent);
   /** Sets the number of evacuated data centres. */
   void SetClosedDataCentres(std::size_t aCount);
+  /** Sets the number of jobs that wait with nothing running, by reason, and
+   * the longest of their waits. */
+  void SetIdleJobs(const std::map<WaitReason, std::int64_t>& aCounts,
+                   Milliseconds aLongest);
   void Count(Event aEvent);
   std::uint64_t CountOf(Event aEvent) const;
 
--- a/scheduling/domain_term.h
+++ b/scheduling/domain_term.h
@@ -149,6 +149,7 @@
   {
     this->isActive = false;
     this->passTimer.cancel();
+    this->Metrics().SetIdleJobs({}, Milliseconds(0));
   }
 
   /** Outcome of an order that carried aToken. A worker that has received a
--- a/scheduling/worker_poller.h
+++ b/scheduling/worker_poller.h
@@ -142,14 +142,15 @@
       co_return false;
     }
     const std::int64_t longLeases = this->term->Domain().LongLeases();
-    const std::vector<EndedTask> ends = this->term->Domain().ApplyReport(
+    const std::vector<ReportedEnd> ends = this->term->Domain().ApplyReport(
       aWorker, *answer.report, sent, Clock::now());
     if (this->term->Domain().LongLeases() > longLeases) {
       this->term->Metrics().Count(DomainMetrics::Event::kLongLease);
     }
-    for (const EndedTask& end : ends) {
-      this->term->Metrics().Count(DomainMetrics::EventOf(end.Outcome()));
-      LogEnd(aWorker, end);
+    for (const ReportedEnd& reported : ends) {
+      this->term->Metrics().Count(
+        DomainMetrics::EventOf(reported.end.Outcome()));
+      LogEnd(aWorker, reported);
     }
     if (!ends.empty()) {
       this->term->RequestPass();
--- a/tests/tool/job_timeline_test.cpp
+++ b/tests/tool/job_timeline_test.cpp
@@ -54,6 +54,9 @@
   CPPUNIT_TEST(RepeatedFailuresOnOneWorkerNameTheWorker);
   CPPUNIT_TEST(PreemptionNamesTheJobInFavour);
   CPPUNIT_TEST(TimelineExcludesEventsOfOtherJobs);
+  CPPUNIT_TEST(StopsOfRecordCutShortAreNamedAsUnexplained);
+  CPPUNIT_TEST(StopAndIdleTimeAreExplainedFromTheirOwnLines);
+  CPPUNIT_TEST(HostBeforeEachEventIsRead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -161,6 +164,62 @@
                  events);
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, EventsOfJob(events, "k1").size());
   }
+
+  // The record of an incident has the last lines of some hosts only, quoted and
+  // given twice.
+  void StopsOfRecordCutShortAreNamedAsUnexplained()
+  {
+    const std::string record =
+      R"(>     ##### Case 1. Deployment d.
+>     == Log of a-2/host (lines that name the request)
+>     {"at_ms":1565348,"event":"run_ended","job":"k1","step":0,"task":9,"run":1,"worker":"w1","how":"stopped"}
+>     {"at_ms":1565349,"event":"run_ended","job":"k1","step":0,"task":3,"run":1,"worker":"w2","how":"stopped"}
+>
+>     == Log of a-3/host (lines that name the request)
+>     {"at_ms":1554790,"event":"call","kind":"submit","path":"/q/k1","outcome":"accepted","took_ms":18,"proof_ms":1597,"job":"k1"}
+)";
+    std::vector<HostEvent> events;
+    std::istringstream stream(record + record);
+    ReadEvents(stream, "-", events);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 3 }, events.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a-2/host"), events[0].host);
+    CPPUNIT_ASSERT_EQUAL(std::string("a-3/host"), events[2].host);
+    const std::string gaps = JoinLines(FindGaps(events, "k1"));
+    AssertContains(gaps, "why 2 runs were stopped");
+    AssertContains(gaps, "whether a task was started after at_ms=1565349");
+    AssertContains(gaps, "which host held the domain");
+    AssertContains(gaps, "other hosts did than a-2/host a-3/host");
+  }
+
+  void StopAndIdleTimeAreExplainedFromTheirOwnLines()
+  {
+    std::vector<HostEvent> events;
+    AppendEvents(
+      "e1",
+      R"({"at_ms":1000,"event":"domain_takeover","term":4,"previous_holder":"e2","committed":1}
+{"at_ms":7000,"event":"run_ended","job":"k1","step":0,"task":2,"run":1,"worker":"w1","how":"stopped","cause":"preempted"}
+{"at_ms":10000,"event":"job_idle","job":"k1","priority":2,"idle_ms":3000,"reason":"rack","until_ms":900,"needs":3,"fits":21,"term":4}
+)",
+      events);
+    const std::string causes = JoinLines(FindCauses(events, "k1"));
+    AssertContains(causes, "1 run ended by an order of the holder: preempted");
+    AssertContains(causes,
+                   "nothing of it had run for 3000 ms: rack, for at most 900 "
+                   "ms more; 3 tasks have to start, 21 fit, in term 4");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, FindGaps(events, "k1").size());
+  }
+
+  void HostBeforeEachEventIsRead()
+  {
+    std::vector<HostEvent> events;
+    AppendEvents("all",
+                 R"(  36.30 e1 {"at_ms":1,"event":"stopped"}
+  36.31 e2 {"at_ms":2,"event":"stopped"}
+)",
+                 events);
+    CPPUNIT_ASSERT_EQUAL(std::string("e1"), events[0].host);
+    CPPUNIT_ASSERT_EQUAL(std::string("e2"), events[1].host);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobTimelineTest);
--- a/tool/event_files.cpp
+++ b/tool/event_files.cpp
@@ -7,6 +7,9 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <set>
+#include <sstream>
+#include <string_view>
 #include <utility>
 
 namespace sardinecourse {
@@ -25,6 +28,42 @@
                    });
 }
 
+/** A line of a log, without what a collector of several logs adds to it. */
+struct CollectedLine
+{
+  /** The host of the events that follow, if the line is the title of a
+   * section: "== Log of HOST (remark)". */
+  std::optional<std::string> sectionHost;
+  /** The word before the event; empty if there is none. */
+  std::string host;
+  std::string event;
+};
+
+CollectedLine
+SplitLine(const std::string& aLine)
+{
+  constexpr std::string_view kTitle = "== Log of ";
+  CollectedLine line;
+  const std::size_t title = aLine.find(kTitle);
+  if (title != std::string::npos) {
+    line.sectionHost = aLine.substr(title + kTitle.size());
+    line.sectionHost->resize(
+      std::min(line.sectionHost->find(' '), line.sectionHost->size()));
+    return line;
+  }
+  const std::size_t begin = aLine.find('{');
+  if (begin == std::string::npos) {
+    line.event = aLine;
+    return line;
+  }
+  line.event = aLine.substr(begin);
+  std::istringstream words(aLine.substr(0, begin));
+  for (std::string word; words >> word;) {
+    line.host = word == ">" ? std::string() : word;
+  }
+  return line;
+}
+
 void
 ReportSkippedLines(const std::string& aName, std::size_t aLines)
 {
@@ -42,23 +81,40 @@
            std::vector<HostEvent>& aEvents)
 {
   const std::size_t first = aEvents.size();
-  std::string host = aName;
+  std::string fileHost = aName;
+  std::optional<std::string> sectionHost;
+  std::set<std::pair<std::string, std::string>> linesOfSections;
   std::size_t skipped = 0;
-  std::string line;
-  while (std::getline(aFrom, line)) {
+  std::string text;
+  while (std::getline(aFrom, text)) {
+    const CollectedLine collected = SplitLine(text);
+    if (collected.sectionHost) {
+      sectionHost = collected.sectionHost;
+      continue;
+    }
     Reason reason;
-    std::optional<LoggedEvent> event = DecodeLoggedEvent(line, reason);
+    std::optional<LoggedEvent> event =
+      DecodeLoggedEvent(collected.event, reason);
     if (!event) {
-      skipped += line.empty() ? 0 : 1;
+      skipped += text.empty() ? 0 : 1;
+      continue;
+    }
+    // A record may have the same section more than once.
+    if (sectionHost &&
+        !linesOfSections.emplace(*sectionHost, collected.event).second) {
       continue;
     }
     if (event->event == "started") {
-      host = event->Text("host");
+      fileHost = event->Text("host");
     }
-    aEvents.push_back({ std::move(*event), {}, line });
+    aEvents.push_back({ std::move(*event),
+                        sectionHost.value_or(collected.host),
+                        collected.event });
   }
   for (std::size_t index = first; index < aEvents.size(); ++index) {
-    aEvents[index].host = host;
+    if (aEvents[index].host.empty()) {
+      aEvents[index].host = fileHost;
+    }
   }
   return skipped;
 }
--- a/tool/event_files.h
+++ b/tool/event_files.h
@@ -11,9 +11,10 @@
 
 class Reason;
 
-/** Appends the events of one log to aEvents. Their host is taken from the log's
- * "started" event, or else it is aName. Lines that are not events are skipped;
- * returns how many non-empty ones. */
+/** Appends the events of a log to aEvents. Their host is that of the section,
+ * in a record of several logs, or the word before the event. Otherwise it is
+ * taken from the log's "started" event, or else it is aName. Lines that are not
+ * events are skipped; returns how many non-empty ones. */
 std::size_t
 ReadEvents(std::istream& aFrom,
            const std::string& aName,
--- a/tool/job_timeline.cpp
+++ b/tool/job_timeline.cpp
@@ -257,6 +257,129 @@
   }
 }
 
+std::string
+CountRuns(int aCount)
+{
+  return std::to_string(aCount) + (aCount == 1 ? " run" : " runs");
+}
+
+/** Number of runs that an order stopped, by its cause; the cause is empty where
+ * the log has none. */
+std::map<std::string, int>
+StoppedRuns(const std::vector<HostEvent>& aEvents, const std::string& aJob)
+{
+  std::map<std::string, int> stopped;
+  for (const HostEvent& event : aEvents) {
+    const LoggedEvent& line = event.event;
+    if (line.event == "run_ended" && ConcernsJob(line, aJob) &&
+        line.Text("how") == "stopped") {
+      ++stopped[line.Text("cause")];
+    }
+  }
+  return stopped;
+}
+
+void
+AddStopCauses(const std::vector<HostEvent>& aEvents,
+              const std::string& aJob,
+              std::vector<std::string>& aCauses)
+{
+  for (const auto& [cause, count] : StoppedRuns(aEvents, aJob)) {
+    if (!cause.empty()) {
+      aCauses.push_back(CountRuns(count) +
+                        " ended by an order of the holder: " + cause);
+    }
+  }
+}
+
+std::string
+DescribeIdleJob(const LoggedEvent& aEvent)
+{
+  std::string text = "nothing of it had run for " + aEvent.Text("idle_ms") +
+                     " ms: " + aEvent.Text("reason");
+  if (aEvent.Has("worker")) {
+    text += " of worker " + aEvent.Text("worker");
+  }
+  if (aEvent.Has("until_ms")) {
+    text += ", for at most " + aEvent.Text("until_ms") + " ms more";
+  }
+  if (aEvent.Has("needs")) {
+    text += "; " + aEvent.Text("needs") + " tasks have to start, " +
+            aEvent.Text("fits") + " fit";
+  }
+  return text + ", in term " + aEvent.Text("term");
+}
+
+void
+AddIdleCauses(const std::vector<HostEvent>& aEvents,
+              const std::string& aJob,
+              std::vector<std::string>& aCauses)
+{
+  for (const HostEvent& event : aEvents) {
+    if (event.event.event == "job_idle" && ConcernsJob(event.event, aJob)) {
+      aCauses.push_back(DescribeIdleJob(event.event));
+    }
+  }
+}
+
+/** The last event of the job that is an order to start it or the end of a run;
+ * null if there is none. */
+const HostEvent*
+FindLastRunEvent(const std::vector<HostEvent>& aEvents, const std::string& aJob)
+{
+  const auto found = std::find_if(
+    aEvents.rbegin(), aEvents.rend(), [&aJob](const HostEvent& aEvent) {
+      const std::string& event = aEvent.event.event;
+      return ConcernsJob(aEvent.event, aJob) &&
+             (event == "run_ended" || event == "start_ordered" ||
+              event == "unit_placed");
+    });
+  return found == aEvents.rend() ? nullptr : &*found;
+}
+
+}
+
+std::vector<std::string>
+FindGaps(const std::vector<HostEvent>& aEvents, const std::string& aJob)
+{
+  std::vector<std::string> gaps;
+  const auto stopped = StoppedRuns(aEvents, aJob);
+  const auto unexplained = stopped.find("");
+  if (unexplained != stopped.end()) {
+    gaps.push_back("why " + CountRuns(unexplained->second) + " were stopped");
+  }
+  const HostEvent* last = FindLastRunEvent(aEvents, aJob);
+  const bool isLeftWaiting = last != nullptr &&
+                             last->event.event == "run_ended" &&
+                             last->event.Text("how") != "done";
+  const bool isWaitLogged = std::any_of(
+    aEvents.begin(), aEvents.end(), [&aJob, last](const HostEvent& aEvent) {
+      return aEvent.event.event == "job_idle" &&
+             ConcernsJob(aEvent.event, aJob) &&
+             aEvent.event.at >= last->event.at;
+    });
+  if (isLeftWaiting && !isWaitLogged) {
+    gaps.push_back("whether a task was started after at_ms=" +
+                   std::to_string(last->event.at.count()) +
+                   ", and what held the job otherwise");
+  }
+  const bool hasTakeover =
+    std::any_of(aEvents.begin(), aEvents.end(), [](const HostEvent& aEvent) {
+      return aEvent.event.event == "domain_takeover";
+    });
+  if (!hasTakeover) {
+    gaps.emplace_back("which host held the domain, as no takeover is logged");
+  }
+  std::set<std::string> hosts;
+  for (const HostEvent& event : aEvents) {
+    hosts.insert(event.host);
+  }
+  std::string others = "what other hosts did than";
+  for (const std::string& host : hosts) {
+    others += ' ' + host;
+  }
+  gaps.push_back(std::move(others));
+  return gaps;
 }
 
 std::string
@@ -279,8 +402,13 @@
     return DescribeOrder(aEvent, "stop");
   }
   if (event == "run_ended") {
+    const std::string cause =
+      aEvent.Has("cause") ? " (" + aEvent.Text("cause") + ")" : "";
     return DescribeTask(aEvent) + " on " + aEvent.Text("worker") +
-           " ended as " + aEvent.Text("how");
+           " ended as " + aEvent.Text("how") + cause;
+  }
+  if (event == "job_idle") {
+    return DescribeIdleJob(aEvent);
   }
   if (event == "domain_takeover") {
     return DescribeTakeover(aEvent);
@@ -323,6 +451,8 @@
   AddRefusalCauses(aEvents, aJob, causes);
   AddFailureCauses(aEvents, aJob, causes);
   AddLossCauses(aEvents, aJob, causes);
+  AddStopCauses(aEvents, aJob, causes);
+  AddIdleCauses(aEvents, aJob, causes);
   AddWaitCauses(aEvents, aJob, causes);
   return causes;
 }
--- a/tool/job_timeline.h
+++ b/tool/job_timeline.h
@@ -18,6 +18,11 @@
 std::vector<HostEvent>
 EventsOfJob(const std::vector<HostEvent>& aEvents, const std::string& aJob);
 
+/** What the events do not show of the job, one gap per entry; logs that were
+ * cut short or are missing leave such gaps. */
+std::vector<std::string>
+FindGaps(const std::vector<HostEvent>& aEvents, const std::string& aJob);
+
 /** What refused, failed, preempted or delayed the job, one cause per entry, as
  * far as the events show. */
 std::vector<std::string>
--- a/tool/log_verbs.cpp
+++ b/tool/log_verbs.cpp
@@ -148,6 +148,9 @@
     for (const std::string& cause : FindCauses(*events, aJob)) {
       std::cout << "cause: " << cause << '\n';
     }
+    for (const std::string& gap : FindGaps(*events, aJob)) {
+      std::cout << "not in these logs: " << gap << '\n';
+    }
   }
   return ExitCode::kOk;
 }
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -47,15 +47,6 @@
 /** Longest wait that is computed from an estimate, in ms; about 30 years. */
 constexpr double kMaxWaitMilliseconds = 1e12;
 
-StopCause
-CauseToStop(const TrackedJob& aJob, const TaskUnit& aUnit)
-{
-  if (aJob.Final()) {
-    return StopCause::kJobOver;
-  }
-  return aUnit.Done() ? StopCause::kUnitDone : aUnit.AbandonedFor();
-}
-
 /** Number of tasks of the step that fit into what is free. */
 std::int64_t
 CountFitting(const std::vector<CandidateWorker>& aWorkers, const JobStep& aStep)
@@ -126,6 +117,7 @@
   std::vector<JobKey> retired;
   for (const JobKey& key : this->domain->Active()) {
     TrackedJob& job = *this->domain->FindJob(key);
+    job.SetWait(std::nullopt);
     bool isIdle = true;
     job.ReleaseUnits();
     for (auto& [number, unit] : job.OpenUnits()) {
@@ -172,7 +164,7 @@
       DomainState::StopOf(member->worker,
                           DomainState::AddressOf(aJob, aUnit, index),
                           aUnit.Run(),
-                          CauseToStop(aJob, aUnit)));
+                          aJob.CauseToStop(aUnit)));
   }
 }
 
@@ -296,14 +288,17 @@
   const bool isOverdue = this->IsOverdueInAmpleRoom(aJob, aUnit, aRef);
   if (!isOverdue &&
       aUnit.Count() > this->MaxTasksWithinHeadroom(aJob, aJob.StepOf(aUnit))) {
+    this->NoteWait(aJob, aUnit, WaitReason::kHeadroom);
     return;
   }
-  const auto places = this->PlaceGang(aJob, aUnit, aRef, isOverdue);
+  WaitReason reason = WaitReason::kNoRoom;
+  const auto places = this->PlaceGang(aJob, aUnit, aRef, isOverdue, reason);
   if (places) {
     this->reservations->Release(aRef);
     this->Start(aJob, aUnit, *places);
     return;
   }
+  this->NoteWait(aJob, aUnit, reason);
   this->reclaim.ReclaimFor(aJob, aUnit, aRef);
 }
 
@@ -324,6 +319,7 @@
   const std::int32_t count =
     std::min(static_cast<std::int32_t>(units.size()), limit);
   if (count < 1) {
+    this->NoteWait(aJob, aFirst, WaitReason::kHeadroom);
     return;
   }
   const std::vector<CandidateWorker>& workers =
@@ -346,10 +342,33 @@
     this->Start(aJob, unit, { places[position] });
   }
   if (places.empty()) {
+    this->NoteWait(aJob,
+                   aFirst,
+                   mayWait && !step.DataRack().Empty() ? WaitReason::kRack
+                                                       : WaitReason::kNoRoom);
     this->reclaim.ReclaimFor(aJob, aFirst, aFirstRef);
   }
 }
 
+/** Records what keeps the unit waiting, for the event log. */
+void
+DomainPass::NoteWait(TrackedJob& aJob,
+                     const TaskUnit& aUnit,
+                     WaitReason aReason)
+{
+  const JobStep& step = aJob.StepOf(aUnit);
+  WaitCause cause;
+  cause.reason = aReason;
+  cause.tasks = aUnit.Count();
+  cause.need = step.Need();
+  if (this->domain->AreStartsWithheld(this->now)) {
+    cause.reason = WaitReason::kStartsWithheld;
+  } else if (aReason == WaitReason::kRack) {
+    cause.until = aJob.FirstSeen() + this->MaxLocalityWait(aJob, step);
+  }
+  aJob.SetWait(std::move(cause));
+}
+
 /** Whether the unit has to start in ample room without headroom and away from
  * the rack that it prefers: if nothing of its job runs and no more jobs arrive,
  * at once, as a run that was given up has waited already; if its tasks never
@@ -492,7 +511,8 @@
 DomainPass::PlaceGang(const TrackedJob& aJob,
                       const TaskUnit& aUnit,
                       const UnitRef& aRef,
-                      bool aIsOverdue)
+                      bool aIsOverdue,
+                      WaitReason& aReason)
 {
   const JobStep& step = aJob.StepOf(aUnit);
   const PacePreference pace = this->PaceFor(aJob, aUnit);
@@ -509,6 +529,7 @@
       !aIsOverdue && this->Waited(aJob) < this->MaxLocalityWait(aJob, step);
     if (mayWait &&
         CouldFit(this->view.CandidatesFor(aJob, aUnit, aRef), local)) {
+      aReason = WaitReason::kRack;
       return std::nullopt;
     }
     places = this->view.Find(aJob, aUnit, aRef, anywhere);
--- a/zones/domain_pass.h
+++ b/zones/domain_pass.h
@@ -8,6 +8,7 @@
 #include "zones/pass_decisions.h"
 #include "zones/placement_view.h"
 #include "zones/waiting_group.h"
+#include "zones/waits/wait_reason.h"
 
 #include <map>
 #include <optional>
@@ -80,10 +81,14 @@
   void Start(TrackedJob& aJob,
              TaskUnit& aUnit,
              const std::vector<WorkerName>& aPlaces);
+  /** Places for all tasks of the unit; sets aReason when it has to wait for the
+   * rack that it prefers. */
   std::optional<std::vector<WorkerName>> PlaceGang(const TrackedJob& aJob,
                                                    const TaskUnit& aUnit,
                                                    const UnitRef& aRef,
-                                                   bool aIsOverdue);
+                                                   bool aIsOverdue,
+                                                   WaitReason& aReason);
+  void NoteWait(TrackedJob& aJob, const TaskUnit& aUnit, WaitReason aReason);
   Milliseconds Waited(const TrackedJob& aJob) const;
   /** Which pace the unit's workers should have. */
   PacePreference PaceFor(const TrackedJob& aJob, const TaskUnit& aUnit) const;
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -586,7 +586,7 @@
   return found;
 }
 
-std::vector<EndedTask>
+std::vector<ReportedEnd>
 DomainState::ApplyReport(const WorkerName& aWorker,
                          const WorkerReport& aReport,
                          Instant aSent,
@@ -604,10 +604,11 @@
     this->paces->BeginIncarnation(
       worker->Listing().Service(), aWorker, aReport.Incarnation(), aReceived);
   }
-  std::vector<EndedTask> newEnds;
+  std::vector<ReportedEnd> newEnds;
   for (const EndedTask& end : aReport.Ended()) {
-    if (this->ApplyEnd(*worker, end, aReceived)) {
-      newEnds.push_back(end);
+    auto reported = this->ApplyEnd(*worker, end, aReceived);
+    if (reported) {
+      newEnds.push_back(std::move(*reported));
     }
   }
   Resources orphanUsage;
@@ -647,19 +648,21 @@
   }
 }
 
-bool
+std::optional<ReportedEnd>
 DomainState::ApplyEnd(TrackedWorker& aWorker,
                       const EndedTask& aEnd,
                       Instant aNow)
 {
   if (!aWorker.NoteEnd(aEnd.Number())) {
-    return false;
+    return std::nullopt;
   }
   const auto [job, unit, member] = this->FindRun(aEnd.Task(), aEnd.Run());
   if (unit == nullptr) {
     aWorker.AddUnstoredEnd(aEnd.Number(), aEnd.Task().Job(), 0);
-    return true;
+    return ReportedEnd{ aEnd, StopCause::kOrphan };
   }
+  const StopCause cause =
+    aEnd.Run() == unit->Run() ? job->CauseToStop(*unit) : StopCause::kOrphan;
   unit->MarkEverStarted();
   const bool wasOnWorker =
     member != nullptr && member->worker == aWorker.Listing().Name();
@@ -680,7 +683,7 @@
     aWorker.NoteFailure(aEnd.Task().Job(), aNow);
   }
   aWorker.AddUnstoredEnd(aEnd.Number(), aEnd.Task().Job(), job->Version());
-  return true;
+  return ReportedEnd{ aEnd, cause };
 }
 
 void
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -2,7 +2,6 @@
 
 #include "contracts/domain_timing.h"
 #include "contracts/domain_usage.h"
-#include "contracts/ended_task.h"
 #include "contracts/task_address.h"
 #include "core/instant.h"
 #include "core/names.h"
@@ -13,6 +12,7 @@
 #include "zones/neighbours/neighbour_effects.h"
 #include "zones/pace/worker_paces.h"
 #include "zones/queue_run_times.h"
+#include "zones/reported_end.h"
 #include "zones/start_order.h"
 #include "zones/stop_order.h"
 #include "zones/tracked_job.h"
@@ -124,6 +124,8 @@
   /** Whether a run may still be on the worker, including one that an earlier
    * holder started. */
   bool MayStillRun(const WorkerName& aWorker, Instant aNow) const;
+  /** By when every lease on the worker has expired. */
+  Instant LeaseBoundOf(const WorkerName& aWorker, Instant aNow) const;
   /** Adopts the bounds of the leases on unreachable workers that earlier
    * holders stored; see LeaseBoundRecord::Adopt(). */
   void AdoptLeaseBounds(const LeaseBounds& aStored,
@@ -157,10 +159,10 @@
   /** Applies the answer to the latest poll, for which GrantLease() was called;
    * aSent is when it was sent. Returns the ended runs that were not reported
    * before. */
-  std::vector<EndedTask> ApplyReport(const WorkerName& aWorker,
-                                     const WorkerReport& aReport,
-                                     Instant aSent,
-                                     Instant aReceived);
+  std::vector<ReportedEnd> ApplyReport(const WorkerName& aWorker,
+                                       const WorkerReport& aReport,
+                                       Instant aSent,
+                                       Instant aReceived);
   /** Time on the worker's clock, in ms, from which the worker refuses the start
    * that is about to be sent; empty when the start is not needed any more or
    * must not be sent to the worker. */
@@ -243,8 +245,6 @@
                           StopCause aCause);
 
 private:
-  /** By when every lease on the worker has expired. */
-  Instant LeaseBoundOf(const WorkerName& aWorker, Instant aNow) const;
   bool IsUnreachable(const WorkerName& aWorker, Instant aNow) const;
   /** Bounds that the store should hold. */
   std::map<WorkerName, Instant> WantedLeaseBounds(Instant aNow) const;
@@ -262,7 +262,10 @@
   void AllocateResources(const TrackedJob& aJob,
                          const TaskUnit& aUnit,
                          TrackedWorker& aWorker);
-  bool ApplyEnd(TrackedWorker& aWorker, const EndedTask& aEnd, Instant aNow);
+  /** Empty when the end was reported before. */
+  std::optional<ReportedEnd> ApplyEnd(TrackedWorker& aWorker,
+                                      const EndedTask& aEnd,
+                                      Instant aNow);
   void NoteRunTime(const TrackedJob& aJob, const TaskUnit& aUnit, Instant aNow);
   void MeasurePaces();
   static KindOfWork KindOfWorkOf(const TrackedJob& aJob, const TaskUnit& aUnit);
--- a/zones/tracked_job.cpp
+++ b/zones/tracked_job.cpp
@@ -46,6 +46,15 @@
   return this->job.Plan().Steps()[aUnit.Step()];
 }
 
+StopCause
+TrackedJob::CauseToStop(const TaskUnit& aUnit) const
+{
+  if (this->Final()) {
+    return StopCause::kJobOver;
+  }
+  return aUnit.Done() ? StopCause::kUnitDone : aUnit.AbandonedFor();
+}
+
 std::int32_t
 TrackedJob::UnitCount() const
 {
--- a/zones/tracked_job.h
+++ b/zones/tracked_job.h
@@ -5,11 +5,14 @@
 #include "contracts/progress_limits.h"
 #include "core/instant.h"
 #include "zones/task_unit.h"
+#include "zones/waits/wait_cause.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace sardinecourse {
@@ -71,6 +74,15 @@
   std::int64_t OpenTasks() const;
   /** Whether no task of the job can be running. */
   bool Idle() const;
+  /** Why the runs of the unit are stopped; kNone when they are not. */
+  StopCause CauseToStop(const TaskUnit& aUnit) const;
+  /** What the latest pass found to hold the waiting units of the job; empty
+   * when all due ones were started. */
+  const std::optional<WaitCause>& Wait() const { return this->wait; }
+  void SetWait(std::optional<WaitCause> aCause)
+  {
+    this->wait = std::move(aCause);
+  }
 
   void Restore(const JobProgress& aProgress);
   /** The progress to store, with at most aMaxCheckpointBytes of checkpoints. */
@@ -122,6 +134,7 @@
   std::string marks;
   std::map<std::int32_t, TaskUnit> openUnits;
   std::int32_t firstUnfinished = 0;
+  std::optional<WaitCause> wait;
   JobState state = JobState::kAdmitted;
   Instant firstSeen;
   Instant finalSince{};
