--- a/tests/unit_test_main.cpp
+++ b/tests/unit_test_main.cpp
@@ -5,20 +5,22 @@
 #include <cppunit/extensions/TestFactoryRegistry.h>
 #include <cppunit/ui/text/TestRunner.h>
 #include <iostream>
+#include <set>
 #include <string>
 
 namespace {
 
-/** Adds all linked fixtures but the one that is named. */
+/** Adds all linked fixtures but those that are named. */
 void
-AddAllBut(const std::string& aName, CppUnit::TextUi::TestRunner& aRunner)
+AddAllBut(const std::set<std::string>& aNames,
+          CppUnit::TextUi::TestRunner& aRunner)
 {
   // The runner deletes the fixtures that are added, so their list is kept.
   static const CppUnit::Test* const all =
     CppUnit::TestFactoryRegistry::getRegistry().makeTest();
   for (int child = 0; child < all->getChildTestCount(); ++child) {
     CppUnit::Test* const fixture = all->getChildTestAt(child);
-    if (fixture->getName() != aName) {
+    if (!aNames.contains(fixture->getName())) {
       aRunner.addTest(fixture);
     }
   }
@@ -27,7 +29,8 @@
 }
 
 /** Runs all linked tests, or the fixture or test named by the first argument,
- * or with "--without" all fixtures but the one named by the second. */
+ * or with "--without" all fixtures but those named by the arguments behind it.
+ */
 int
 main(int aCount, char** aArguments)
 {
@@ -36,7 +39,7 @@
   const bool isWithout =
     aCount > 2 && std::string(aArguments[1]) == "--without";
   if (isWithout) {
-    AddAllBut(aArguments[2], runner);
+    AddAllBut({ aArguments + 2, aArguments + aCount }, runner);
   } else {
     runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
   }
