Store that a run has ended when nothing of it runs any more

The progress of a job names the workers of each open run. It was written when a run started, failed or was done, but not when a run was stopped, broken, given up, not listed or refused. So the next holder loaded such a run as running. Members on workers that answer were found missing within a poll; one on a worker that was lost meanwhile held the unit up until the bound of the leases of the holder before: 14.5 s from the takeover on, up to 12.5 s from the loss of the holder on. Nothing bounded how long ago the run had ended.

MarkMemberGone() now marks the progress as changed when the last member of a run is gone. The stored row then names no worker, and the next holder places the unit as soon as there is room. No write is added where the unit starts again in the same pass.

--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -1031,6 +1031,11 @@
                    aJob.StepOf(aUnit).Need());
   }
   aJob.RevertUnstarted();
+  // The stored progress names the workers of the run; the next holder would
+  // wait for those that are lost meanwhile.
+  if (aUnit.Idle() && !aUnit.Done() && !aJob.Final()) {
+    aJob.MarkDirty();
+  }
 }
 
 std::vector<StopOrder>
