Count the time without arrivals from the admissions, not from the takeover

After the last arrival, a job with nothing running and room for it twice over starts anywhere once no job has arrived for 5 s. Each holder counted the jobs that it loaded as arrivals, so the 5 s began anew with each takeover: holders that take over every few seconds, as after the loss of all hosts, kept such jobs behind headroom and racks for as long.

A job is loaded with its age, by the wall clocks of the hosts that admitted and loaded it; LastArrival() is the latest admission. A holder waits 1 s for the first polls, so that the room of its workers is known.

--- a/scheduling/domain_feeds.h
+++ b/scheduling/domain_feeds.h
@@ -3,6 +3,7 @@
 #include "codecs/admitted_job_json.h"
 #include "codecs/job_progress_json.h"
 #include "core/reason.h"
+#include "core/wall_time.h"
 #include "scheduling/event_line.h"
 #include "scheduling/platform_schema.h"
 #include "scheduling/row_feed.h"
@@ -10,6 +11,7 @@
 #include "scheduling/worker_poller.h"
 #include "zones/domain_state.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <map>
 #include <set>
@@ -105,6 +107,9 @@
   }
 
 private:
+  /** Jobs that are older count as this old. */
+  static constexpr Milliseconds kMaxJobAge{ 3'600'000 };
+
   /** Pause after a failed read of a feed. An outage lasts seconds, and the
    * store also counts the calls that it refuses. */
   static constexpr Milliseconds kFeedRetryPause{ 300 };
@@ -196,8 +201,11 @@
     }
     const std::int64_t revision =
       aProgress == nullptr ? aJob.Revision() : aProgress->Revision();
+    // The clocks of the hosts may differ.
+    const auto age = std::clamp<Milliseconds>(
+      WallNow() - job->Admitted(), Milliseconds(0), kMaxJobAge);
     this->term->Domain().AddJob(
-      std::move(*job), progress, revision, Clock::now());
+      std::move(*job), progress, revision, Clock::now(), age);
   }
 
   void ApplyJobChanges(const std::vector<TableRow>& aRows)
--- a/tests/load_patterns/idle_wait_test.cpp
+++ b/tests/load_patterns/idle_wait_test.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST_SUITE(IdleWaitTest);
   CPPUNIT_TEST(NoJobWaitsBesideRoomAfterTheTraffic);
   CPPUNIT_TEST(NoJobWaitsBesideRoomAfterTakeover);
+  CPPUNIT_TEST(NoJobWaitsBesideRoomAfterTakeoversInSeries);
   CPPUNIT_TEST(NoJobWaitsBesideRoomAfterItsWorkerLeftWithTheHolder);
   CPPUNIT_TEST_SUITE_END();
 
@@ -55,6 +56,19 @@
     Check({ takeover });
   }
 
+  // Each holder began the time without arrivals anew, after which room is no
+  // longer kept for work to come.
+  void NoJobWaitsBesideRoomAfterTakeoversInSeries()
+  {
+    std::vector<ModelTrouble> takeovers;
+    for (const int start : { 42'000, 46'000, 50'000 }) {
+      takeovers.emplace_back();
+      takeovers.back().kind = ModelTrouble::Kind::kTakeover;
+      takeovers.back().start = Milliseconds(start);
+    }
+    Check(takeovers);
+  }
+
   // The wait for ample room came on top of that for the leases of the workers
   // that had left.
   void NoJobWaitsBesideRoomAfterItsWorkerLeftWithTheHolder()
--- a/tests/model/domain_model.cpp
+++ b/tests/model/domain_model.cpp
@@ -139,10 +139,13 @@
     MakeTiming(*this->settings), now, now + DomainTiming::kRenewalGrace);
   this->PrepareDomain();
   for (const auto& [key, progress] : this->stored) {
-    this->domain->AddJob(this->jobsByKey.at(key)->job,
+    const ModelJob& job = *this->jobsByKey.at(key);
+    this->domain->AddJob(job.job,
                          progress,
                          ++this->revision,
-                         this->events.Now());
+                         this->events.Now(),
+                         std::chrono::duration_cast<Milliseconds>(
+                           now - (this->start + job.arrival)));
   }
   for (const auto& [name, worker] : this->domain->Workers()) {
     this->Poll(name);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -133,6 +133,7 @@
   stored.job = aJob;
   stored.progress = Valid(JobProgressBuilder().Queue(aJob.Queue()));
   stored.revision = ++this->revision;
+  stored.submittedMs = this->site.nowMs;
   this->store[key] = stored;
   this->domain->AddJob(aJob, std::nullopt, stored.revision, this->Now());
 }
@@ -224,8 +225,11 @@
     this->domain->ListWorker(this->ListingOf(worker), this->Now());
   }
   for (const auto& [key, stored] : this->store) {
-    this->domain->AddJob(
-      stored.job, stored.progress, stored.revision, this->Now());
+    this->domain->AddJob(stored.job,
+                         stored.progress,
+                         stored.revision,
+                         this->Now(),
+                         Milliseconds(this->site.nowMs - stored.submittedMs));
   }
 }
 
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -107,6 +107,7 @@
     AdmittedJob job;
     JobProgress progress;
     std::int64_t revision = 0;
+    std::int64_t submittedMs = 0;
   };
   struct DelayedOrder
   {
--- a/zones/domain_pass.cpp
+++ b/zones/domain_pass.cpp
@@ -40,6 +40,9 @@
  * from its rack takes room from them. Without an arrival for this time, room is
  * not kept for work to come. */
 constexpr Milliseconds kQuietTime{ 5000 };
+/** Time from the start of a term by which the workers that answer have been
+ * polled, so that their room is known. */
+constexpr Milliseconds kFirstPollsTime{ 1000 };
 /** Max occurrences of a step that a pass considers, which bounds the memory of
  * the pass and of the units that wait. Later passes consider the others, once
  * these have started. */
@@ -379,7 +382,9 @@
                                  const UnitRef& aRef)
 {
   const bool isEndless = aJob.StepOf(aUnit).IsEndless();
-  const bool isQuiet = this->now >= this->domain->LastArrival() + kQuietTime;
+  const bool isQuiet =
+    this->now >= this->domain->LastArrival() + kQuietTime &&
+    this->now >= this->domain->HolderSince() + kFirstPollsTime;
   const bool isJudged = isEndless || (isQuiet && aJob.Idle());
   return this->IsOverdue(aJob.StepOf(aUnit),
                          aUnit,
--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -57,7 +57,6 @@
   : timing(aTiming)
   , holderSince(aHolderSince)
   , renewedUntil(aRenewedUntil)
-  , lastArrival(aHolderSince)
 {
 }
 
@@ -65,7 +64,8 @@
 DomainState::AddJob(AdmittedJob aJob,
                     const std::optional<JobProgress>& aProgress,
                     std::int64_t aRevision,
-                    Instant aNow)
+                    Instant aNow,
+                    Milliseconds aAge)
 {
   const JobKey key = aJob.Key();
   // A row that was read before its job was archived may be applied after it.
@@ -77,7 +77,7 @@
   if (!isNew) {
     return;
   }
-  this->lastArrival = aNow;
+  this->lastArrival = std::max(this->lastArrival, aNow - aAge);
   TrackedJob& job = position->second;
   this->usedBytes[job.Job().Team()] += IntakeBytesOf(job.Job().Plan());
   if (aProgress) {
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -49,13 +49,18 @@
   const DomainTiming& Timing() const { return this->timing; }
 
   /** Adds a job with its stored progress; a job that is tracked already or
-   * archived stays unchanged. aRevision is that of the stored progress row. */
+   * archived stays unchanged. aRevision is that of the stored progress row, and
+   * aAge the time since the job was admitted. */
   void AddJob(AdmittedJob aJob,
               const std::optional<JobProgress>& aProgress,
               std::int64_t aRevision,
-              Instant aNow);
-  /** When the latest job was added; the start of the term before that. */
+              Instant aNow,
+              Milliseconds aAge = Milliseconds(0));
+  /** When the latest job that was added was admitted; an instant long ago
+   * before that. */
   Instant LastArrival() const { return this->lastArrival; }
+  /** When this host became the holder of the domain. */
+  Instant HolderSince() const { return this->holderSince; }
   void CancelJob(const JobKey& aJob, Instant aNow);
   TrackedJob* FindJob(const JobKey& aJob);
   std::map<JobKey, TrackedJob>& Jobs() { return this->jobs; }
@@ -297,7 +302,7 @@
   DomainTiming timing;
   Instant holderSince;
   Instant renewedUntil;
-  Instant lastArrival;
+  Instant lastArrival{};
   std::map<JobKey, TrackedJob> jobs;
   std::set<JobKey> active;
   /** Bytes of the tracked jobs of each team; see IntakeBytesOf(). */
