Take the age of a job from its admission only when it is loaded

A job that arrives by the feed has just been admitted, while the clocks of the hosts that admit and load it may differ by seconds; with such a clock the time without arrivals would have passed at once.

--- a/scheduling/domain_feeds.h
+++ b/scheduling/domain_feeds.h
@@ -201,9 +201,13 @@
     }
     const std::int64_t revision =
       aProgress == nullptr ? aJob.Revision() : aProgress->Revision();
-    // The clocks of the hosts may differ.
-    const auto age = std::clamp<Milliseconds>(
-      WallNow() - job->Admitted(), Milliseconds(0), kMaxJobAge);
+    // The clocks of the hosts may differ, so they are not asked for the age of
+    // a job that has just been admitted.
+    const auto age = aProgress == nullptr
+                       ? Milliseconds(0)
+                       : std::clamp<Milliseconds>(WallNow() - job->Admitted(),
+                                                  Milliseconds(0),
+                                                  kMaxJobAge);
     this->term->Domain().AddJob(
       std::move(*job), progress, revision, Clock::now(), age);
   }
