Start nothing beside a run whose needs are not known

A gang was done behind a cut while its second run had begun; the next holder loaded the job as done and archived it, with the second run still on a worker. The needs of a stray run are found by its job, so the run counted as nothing, and a task that needs the whole worker was started beside it.

A worker that reports a run of a job that is not tracked gets no new task until the run is gone, which the stop that is ordered at once sees to.

Measured: WorkerWithRunOfUnknownJobIsNotOverfilled failed before and passes; all tests of zones, scheduling and load patterns pass.

--- a/zones/domain_state.cpp
+++ b/zones/domain_state.cpp
@@ -611,11 +611,11 @@
       newEnds.push_back(std::move(*reported));
     }
   }
-  Resources orphanUsage;
+  StrayUsage strays;
   for (const RunningTask& running : aReport.Running()) {
-    this->ApplyRunning(*worker, running, aReceived, orphanUsage);
+    this->ApplyRunning(*worker, running, aReceived, strays);
   }
-  worker->SetOrphanUsage(orphanUsage);
+  worker->SetStrayUsage(strays);
   if (this->neighbours) {
     this->NoteNeighbours(*worker, aReport);
   }
@@ -764,7 +764,7 @@
 DomainState::ApplyRunning(TrackedWorker& aWorker,
                           const RunningTask& aRunning,
                           Instant aNow,
-                          Resources& aOrphans)
+                          StrayUsage& aStrays)
 {
   const auto [job, unit, member] =
     this->FindRun(aRunning.Task(), aRunning.Run());
@@ -787,7 +787,9 @@
     return;
   }
   if (unit != nullptr) {
-    aOrphans = aOrphans.Plus(job->StepOf(*unit).Need());
+    aStrays.known = aStrays.known.Plus(job->StepOf(*unit).Need());
+  } else {
+    aStrays.hasUnknown = true;
   }
   this->orphans.push_back(StopOf(aWorker.Listing().Name(),
                                  aRunning.Task(),
--- a/zones/domain_state.h
+++ b/zones/domain_state.h
@@ -284,7 +284,7 @@
   void ApplyRunning(TrackedWorker& aWorker,
                     const RunningTask& aRunning,
                     Instant aNow,
-                    Resources& aOrphans);
+                    StrayUsage& aStrays);
   void ApplyMissing(TrackedWorker& aWorker,
                     const WorkerReport& aReport,
                     bool aIsRestarted,
--- a/zones/placement_view.cpp
+++ b/zones/placement_view.cpp
@@ -98,7 +98,7 @@
 {
   return aWorker.Listed() && !aWorker.Listing().IsLeaving() &&
          !aWorker.IsReplaced() && !aWorker.IsRefusingStarts(this->now) &&
-         aWorker.IsIncarnationConfirmed() &&
+         aWorker.IsIncarnationConfirmed() && !aWorker.HasUnknownRuns() &&
          this->now < aWorker.LastReport() + kMaxReportAge;
 }
 
--- a/zones/tracked_worker.cpp
+++ b/zones/tracked_worker.cpp
@@ -155,7 +155,9 @@
 Resources
 TrackedWorker::Free() const
 {
-  return this->listing.Capacity().Minus(this->used).Minus(this->orphanUsage);
+  return this->listing.Capacity()
+    .Minus(this->used)
+    .Minus(this->strayUsage.known);
 }
 
 bool
--- a/zones/tracked_worker.h
+++ b/zones/tracked_worker.h
@@ -4,6 +4,7 @@
 #include "core/instant.h"
 #include "machines/worker_listing.h"
 #include "zones/leases/order_fence.h"
+#include "zones/stray_usage.h"
 
 #include <cstdint>
 #include <deque>
@@ -72,8 +73,9 @@
    * aAnyOfStep. */
   std::int32_t CountOf(const TaskAddress& aAnyOfStep) const;
   const Resources& Used() const { return this->used; }
-  /** Sets the resources of reported runs that no unit accounts for. */
-  void SetOrphanUsage(Resources aUsage) { this->orphanUsage = aUsage; }
+  void SetStrayUsage(StrayUsage aUsage) { this->strayUsage = aUsage; }
+  /** Whether the worker reported runs whose resources are not known. */
+  bool HasUnknownRuns() const { return this->strayUsage.hasUnknown; }
   Resources Free() const;
 
   /** Records the number of an ended run; returns false when it was recorded
@@ -154,7 +156,7 @@
   Instant lastReport{};
   std::set<TaskAddress> tasks;
   Resources used;
-  Resources orphanUsage;
+  StrayUsage strayUsage;
   bool isIncarnationConfirmed = false;
   bool isPollFailed = false;
   bool isWithheld = false;
