Check in random histories that no ended run is loaded as running

Each takeover of a random history compares the units that had no run left for the holder, with all changes stored, with what the next holder loads.

--- a/tests/scheduling/domain_fuzz_test.cpp
+++ b/tests/scheduling/domain_fuzz_test.cpp
@@ -345,6 +345,7 @@
       RC_LOG(violation);
     }
     RC_ASSERT(player.world.site.Violations().empty());
+    RC_ASSERT(player.world.resurrected.empty());
     RC_ASSERT(isSettled);
     for (const auto& [key, fails] : player.failing) {
       const JobState state = player.world.StateOf(key);
--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -204,9 +204,25 @@
   }
 }
 
+std::map<UnitRef, std::int64_t>
+DomainWorld::EndedRuns() const
+{
+  std::map<UnitRef, std::int64_t> ended;
+  for (const auto& [key, job] : this->domain->Jobs()) {
+    for (const auto& [number, unit] : job.OpenUnits()) {
+      if (unit.IsOpen() && unit.Idle() && !job.Final() && !job.Dirty()) {
+        ended.emplace(UnitRef{ key, number }, unit.Run());
+      }
+    }
+  }
+  return ended;
+}
+
 void
 DomainWorld::TakeOver(bool aIsReleased)
 {
+  const std::map<UnitRef, std::int64_t> ended =
+    this->domain ? this->EndedRuns() : std::map<UnitRef, std::int64_t>();
   ++this->term;
   this->unsentStarts.clear();
   this->reservations = PreemptionReservations();
@@ -231,6 +247,13 @@
                          this->Now(),
                          Milliseconds(this->site.nowMs - stored.submittedMs));
   }
+  for (const auto& [unit, run] : ended) {
+    const TrackedJob* job = this->domain->FindJob(unit.job);
+    const auto found = job->OpenUnits().find(unit.unit);
+    if (found != job->OpenUnits().end() && !found->second.Idle()) {
+      this->resurrected.push_back(unit);
+    }
+  }
 }
 
 StoreClock
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -9,6 +9,7 @@
 #include "zones/given_up_runs.h"
 #include "zones/pass_decisions.h"
 #include "zones/preemption_reservations.h"
+#include "zones/unit_ref.h"
 
 #include <functional>
 #include <map>
@@ -56,6 +57,9 @@
   bool isNextBlind = false;
   /** Runs that the passes gave up because of their worker's lease. */
   std::vector<GivenUpRuns> givenUp;
+  /** Runs that had ended for a holder, and that the next one loaded as running
+   * although the store had all changes. */
+  std::vector<UnitRef> resurrected;
 
   void Submit(const AdmittedJob& aJob, std::int64_t aWorkMs, bool aFails);
   /** Makes the first aFailures runs of each unit of the job end as failed, on
@@ -121,6 +125,8 @@
   /** Has the hosts that can reach the store read the evacuated data centres. */
   void ReadEvacuations();
   StoreClock ReadStoreClock() const;
+  /** Units of which no run can be running any more, with their latest run. */
+  std::map<UnitRef, std::int64_t> EndedRuns() const;
   void Store();
   void StoreLeaseBounds();
   void StoreJob(const JobKey& aKey);
