--- a/tests/soak/domain_rehearsal.cpp
+++ b/tests/soak/domain_rehearsal.cpp
@@ -200,7 +200,7 @@
       &closing,
       0,
       "Fault at the end of the traffic; drawn from the seed by default",
-      "kill|none" },
+      "kill|power|none" },
     { "late",
       0,
       POPT_ARG_STRING,
--- a/tests/soak/rehearsal_day.cpp
+++ b/tests/soak/rehearsal_day.cpp
@@ -231,9 +231,13 @@
 RehearsalDay::DrawClosing()
 {
   const bool isDrawn = this->Chance(0.5) && !this->options.isPlannedOnly;
-  const bool isClosing =
-    this->options.closing.empty() ? isDrawn : this->options.closing == "kill";
-  if (isClosing) {
+  const std::string closing = !this->options.closing.empty()
+                                ? this->options.closing
+                                : (isDrawn ? "kill" : "none");
+  if (closing == "power") {
+    this->CrashWorkers(this->options.traffic, 1.0, true);
+  }
+  if (closing == "power" || closing == "kill") {
     this->KillHosts(this->options.traffic, 1.0);
   }
 }
--- a/tests/soak/rehearsal_options.h
+++ b/tests/soak/rehearsal_options.h
@@ -20,8 +20,9 @@
   Milliseconds traffic{ 34'000 };
   /** Time from the end of the traffic to the questions at the end. */
   Milliseconds finish{ 14'000 };
-  /** Whether all hosts are killed at the end of the traffic; when empty, the
-   * seed decides. */
+  /** What happens at the end of the traffic: kill (all hosts), power (all hosts
+   * and workers) or none; when empty, the seed decides between kill and none.
+   */
   std::string closing;
   /** What happens in the last fifth of the traffic: drain, evict, roll,
    * evict_kill, crash, cut or kill; when empty, the seed decides. */
