--- a/zones/waits/idle_job_watch.cpp
+++ b/zones/waits/idle_job_watch.cpp
@@ -13,6 +13,9 @@
 /** Shorter waits are usual around a stop or a change of the holder. */
 constexpr Milliseconds kMinLoggedWait{ 3000 };
 
+/** The others are logged at the next observations. */
+constexpr std::size_t kMaxLogged = 20;
+
 bool
 IsAnswering(const DomainState& aDomain, const WorkerName& aWorker)
 {
@@ -119,14 +122,18 @@
       continue;
     }
     const auto known = this->waits.find(key);
-    Wait wait =
-      known == this->waits.end() ? Wait{ aNow, std::nullopt } : known->second;
+    Wait wait = known == this->waits.end()
+                  ? Wait{ aNow, std::nullopt, Instant() }
+                  : known->second;
     const auto idle =
       std::chrono::duration_cast<Milliseconds>(aNow - wait.since);
     ++this->counts[cause->reason];
     this->longest = std::max(this->longest, idle);
-    if (idle >= kMinLoggedWait && wait.logged != cause->reason) {
+    const bool isDue = idle >= kMinLoggedWait && wait.logged != cause->reason &&
+                       aNow >= wait.loggedAt + kMinLoggedWait;
+    if (isDue && changed.size() < kMaxLogged) {
       wait.logged = cause->reason;
+      wait.loggedAt = aNow;
       changed.push_back(IdleJob{
         key, job.Job().Priority(), idle, *cause, CountFitting(aDomain, job) });
     }
--- a/zones/waits/idle_job_watch.h
+++ b/zones/waits/idle_job_watch.h
@@ -20,9 +20,9 @@
 class IdleJobWatch
 {
 public:
-  /** Returns the jobs whose wait is to be logged now: those that have waited
-   * for 3 s, and again when the reason changes. Does nothing when called again
-   * within 500 ms. */
+  /** Returns the jobs whose wait is to be logged now, a few at a time: those
+   * that have waited for 3 s, and again when the reason is another one 3 s
+   * later. Does nothing when called again within 500 ms. */
   std::vector<IdleJob> Observe(const DomainState& aDomain, Instant aNow);
 
   /** Number of jobs that wait, by reason, at the latest observation. */
@@ -38,6 +38,7 @@
   {
     Instant since;
     std::optional<WaitReason> logged;
+    Instant loggedAt{};
   };
 
   std::map<JobKey, Wait> waits;
