Explain a job that has waited and never run

The wait is now looked for only behind a run. JobThatNeverRanHasNoGapAfterItsLastRun ended the test program (139) before and passes; all tests of tool pass.

--- a/tests/tool/job_timeline_test.cpp
+++ b/tests/tool/job_timeline_test.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST(TimelineExcludesEventsOfOtherJobs);
   CPPUNIT_TEST(StopsOfRecordCutShortAreNamedAsUnexplained);
   CPPUNIT_TEST(StopAndIdleTimeAreExplainedFromTheirOwnLines);
+  CPPUNIT_TEST(JobThatNeverRanHasNoGapAfterItsLastRun);
   CPPUNIT_TEST(HostBeforeEachEventIsRead);
   CPPUNIT_TEST_SUITE_END();
 
@@ -209,6 +210,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, FindGaps(events, "k1").size());
   }
 
+  // Failure: the time of the last run was read of a job that had none.
+  void JobThatNeverRanHasNoGapAfterItsLastRun()
+  {
+    std::vector<HostEvent> events;
+    AppendEvents(
+      "e1",
+      R"({"at_ms":1000,"event":"domain_takeover","term":4,"previous_holder":"e2","committed":1}
+{"at_ms":10000,"event":"job_idle","job":"k1","priority":2,"idle_ms":3000,"reason":"no_room","needs":3,"fits":1,"term":4}
+)",
+      events);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 }, FindGaps(events, "k1").size());
+  }
+
   void HostBeforeEachEventIsRead()
   {
     std::vector<HostEvent> events;
--- a/tool/job_timeline.cpp
+++ b/tool/job_timeline.cpp
@@ -352,13 +352,12 @@
   const bool isLeftWaiting = last != nullptr &&
                              last->event.event == "run_ended" &&
                              last->event.Text("how") != "done";
-  const bool isWaitLogged = std::any_of(
-    aEvents.begin(), aEvents.end(), [&aJob, last](const HostEvent& aEvent) {
-      return aEvent.event.event == "job_idle" &&
-             ConcernsJob(aEvent.event, aJob) &&
-             aEvent.event.at >= last->event.at;
-    });
-  if (isLeftWaiting && !isWaitLogged) {
+  const auto isLaterWait = [&aJob, last](const HostEvent& aEvent) {
+    return aEvent.event.event == "job_idle" &&
+           ConcernsJob(aEvent.event, aJob) && aEvent.event.at >= last->event.at;
+  };
+  if (isLeftWaiting &&
+      std::none_of(aEvents.begin(), aEvents.end(), isLaterWait)) {
     gaps.push_back("whether a task was started after at_ms=" +
                    std::to_string(last->event.at.count()) +
                    ", and what held the job otherwise");
