Run a simulated domain in one place

Three test files had the same loop of polls, passes and time, one of them new; DomainWorld::RunFor() is that loop now. The units that a takeover must not bring back are a list, as their run numbers were never read, and failed runs are counted in words as stopped ones are. No assertion, bound or time changes.

--- a/tests/scheduling/domain_world.cpp
+++ b/tests/scheduling/domain_world.cpp
@@ -204,14 +204,14 @@
   }
 }
 
-std::map<UnitRef, std::int64_t>
-DomainWorld::EndedRuns() const
+std::vector<UnitRef>
+DomainWorld::EndedUnits() const
 {
-  std::map<UnitRef, std::int64_t> ended;
+  std::vector<UnitRef> ended;
   for (const auto& [key, job] : this->domain->Jobs()) {
     for (const auto& [number, unit] : job.OpenUnits()) {
       if (unit.IsOpen() && unit.Idle() && !job.Final() && !job.Dirty()) {
-        ended.emplace(UnitRef{ key, number }, unit.Run());
+        ended.push_back(UnitRef{ key, number });
       }
     }
   }
@@ -221,8 +221,8 @@
 void
 DomainWorld::TakeOver(bool aIsReleased)
 {
-  const std::map<UnitRef, std::int64_t> ended =
-    this->domain ? this->EndedRuns() : std::map<UnitRef, std::int64_t>();
+  const std::vector<UnitRef> ended =
+    this->domain ? this->EndedUnits() : std::vector<UnitRef>();
   ++this->term;
   this->unsentStarts.clear();
   this->reservations = PreemptionReservations();
@@ -247,7 +247,7 @@
                          this->Now(),
                          Milliseconds(this->site.nowMs - stored.submittedMs));
   }
-  for (const auto& [unit, run] : ended) {
+  for (const UnitRef& unit : ended) {
     const TrackedJob* job = this->domain->FindJob(unit.job);
     const auto found = job->OpenUnits().find(unit.unit);
     if (found != job->OpenUnits().end() && !found->second.Idle()) {
@@ -555,6 +555,17 @@
   }
 }
 
+void
+DomainWorld::RunFor(std::int64_t aMs)
+{
+  constexpr std::int64_t kIntervalMs = 100;
+  for (std::int64_t passed = 0; passed < aMs; passed += kIntervalMs) {
+    this->PollAll();
+    this->Pass({});
+    this->Advance(kIntervalMs);
+  }
+}
+
 bool
 DomainWorld::Settle(std::int64_t aLimitMs)
 {
--- a/tests/scheduling/domain_world.h
+++ b/tests/scheduling/domain_world.h
@@ -97,6 +97,8 @@
   /** Names of the workers that are running. */
   std::vector<std::string> Workers() const;
   void Advance(std::int64_t aMs);
+  /** Polls all workers and runs a pass every 100 ms for aMs milliseconds. */
+  void RunFor(std::int64_t aMs);
   /** Runs without further faults until all jobs are final; returns false when
    * that takes longer than aLimitMs. */
   bool Settle(std::int64_t aLimitMs);
@@ -125,8 +127,8 @@
   /** Has the hosts that can reach the store read the evacuated data centres. */
   void ReadEvacuations();
   StoreClock ReadStoreClock() const;
-  /** Units of which no run can be running any more, with their latest run. */
-  std::map<UnitRef, std::int64_t> EndedRuns() const;
+  /** Units that were placed and of which nothing can be running any more. */
+  std::vector<UnitRef> EndedUnits() const;
   void Store();
   void StoreLeaseBounds();
   void StoreJob(const JobKey& aKey);
--- a/tests/scheduling/lease_bound_test.cpp
+++ b/tests/scheduling/lease_bound_test.cpp
@@ -14,17 +14,6 @@
 constexpr std::int64_t kNoticeMs = 1000;
 const std::vector<int> kTakeovers{ 1, 3, 5 };
 
-/** Polls all workers and runs a pass every 100 ms for aMs milliseconds. */
-void
-Run(DomainWorld& aWorld, std::int64_t aMs)
-{
-  for (std::int64_t passed = 0; passed < aMs; passed += kIntervalMs) {
-    aWorld.PollAll();
-    aWorld.Pass({});
-    aWorld.Advance(kIntervalMs);
-  }
-}
-
 /** Starts a long task; returns the name of its worker. */
 std::string
 StartTask(DomainWorld& aWorld)
@@ -33,7 +22,7 @@
   aWorld.PollAll();
   aWorld.Submit(
     MakeAdmitted("task", 1, { Valid(QuarterStep(1)) }), kLongMs, false);
-  Run(aWorld, 1000);
+  aWorld.RunFor(1000);
   return aWorld.site.workers.at("w0").Runs().empty() ? "w1" : "w0";
 }
 
@@ -51,11 +40,11 @@
     aWorld.TakeOver(aAreReleased);
     for (std::int64_t passed = 0; passed < aSpanMs && aWorld.site.Starts() < 2;
          passed += kIntervalMs) {
-      Run(aWorld, kIntervalMs);
+      aWorld.RunFor(kIntervalMs);
     }
   }
   while (aWorld.site.Starts() < 2 && aWorld.site.nowMs < aSinceMs + kLimitMs) {
-    Run(aWorld, kIntervalMs);
+    aWorld.RunFor(kIntervalMs);
   }
   return aWorld.site.nowMs - aSinceMs;
 }
@@ -90,7 +79,7 @@
         const std::string lost = StartTask(world);
         const std::int64_t lostMs = world.site.nowMs;
         world.cutOff.insert(lost);
-        Run(world, kNoticeMs);
+        world.RunFor(kNoticeMs);
         const std::int64_t waited =
           WaitThroughTakeovers(world, takeovers, 2500, areReleased, lostMs);
         CPPUNIT_ASSERT_LESSEQUAL(timing.GrantedLease().count() + 1000, waited);
@@ -128,7 +117,7 @@
     DomainWorld world(2, 2, timing);
     const std::string leaving = StartTask(world);
     world.DrainWorker(leaving);
-    Run(world, timing.GrantedLease().count());
+    world.RunFor(timing.GrantedLease().count());
     const std::int64_t lostMs = world.site.nowMs;
     world.RemoveWorker(leaving);
     const std::int64_t waited =
@@ -146,19 +135,19 @@
     DomainWorld world(2, 2, timing);
     const std::string staying = StartTask(world);
     world.DrainWorker(staying);
-    Run(world, 2000);
+    world.RunFor(2000);
     world.isStoreDown = true;
     world.DrainWorker(staying, false);
-    Run(world, 2000);
+    world.RunFor(2000);
     const auto leaseLeft = [&world, &staying] {
       return world.Domain()
         .FindWorker(WorkerName(staying))
         ->LeaseLeft(world.Now());
     };
-    Run(world, timing.GrantedLease().count());
+    world.RunFor(timing.GrantedLease().count());
     CPPUNIT_ASSERT(leaseLeft() <= timing.LeavingLease() + Milliseconds(500));
     world.isStoreDown = false;
-    Run(world, 1000);
+    world.RunFor(1000);
     CPPUNIT_ASSERT(leaseLeft() > timing.LeavingLease() + Milliseconds(500));
   }
 
@@ -171,7 +160,7 @@
     const std::string lost = StartTask(world);
     const std::int64_t lostMs = world.site.nowMs;
     world.RemoveWorker(lost);
-    Run(world, kNoticeMs);
+    world.RunFor(kNoticeMs);
     const std::int64_t waited =
       WaitThroughTakeovers(world, 5, 700, true, lostMs);
     CPPUNIT_ASSERT_LESSEQUAL(timing.GrantedLease().count() + 1000, waited);
@@ -185,14 +174,14 @@
     DomainWorld world(2, 2);
     const std::string silent = StartTask(world);
     world.cutOff.insert(silent);
-    Run(world, kNoticeMs);
+    world.RunFor(kNoticeMs);
     world.isStoreDown = true;
     world.cutOff.clear();
-    Run(world, 4000);
+    world.RunFor(4000);
     world.isStoreDown = false;
     world.cutOff.insert(silent);
     world.TakeOver();
-    Run(world, 10'000);
+    world.RunFor(10'000);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 2 }, world.site.Starts());
     CPPUNIT_ASSERT(world.site.Violations().empty());
   }
@@ -202,11 +191,11 @@
     DomainWorld world(2, 2);
     const std::string silent = StartTask(world);
     world.cutOff.insert(silent);
-    Run(world, kNoticeMs);
+    world.RunFor(kNoticeMs);
     world.cutOff.clear();
-    Run(world, kNoticeMs);
+    world.RunFor(kNoticeMs);
     world.TakeOver();
-    Run(world, 20'000);
+    world.RunFor(20'000);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, world.site.Starts());
   }
 
@@ -218,10 +207,10 @@
     DomainWorld world(2, 2, timing);
     const std::string lost = StartTask(world);
     world.cutOff.insert(lost);
-    Run(world, kNoticeMs);
+    world.RunFor(kNoticeMs);
     world.boundsKeptSince = 3;
     world.TakeOver();
-    Run(world, timing.GrantedLease().count());
+    world.RunFor(timing.GrantedLease().count());
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 1 }, world.site.Starts());
   }
 
@@ -229,7 +218,7 @@
   {
     DomainWorld world(2, 2);
     StartTask(world);
-    Run(world, 5000);
+    world.RunFor(5000);
     CPPUNIT_ASSERT(!world.Domain().AreLeaseBoundsDue(world.Now()));
     CPPUNIT_ASSERT_EQUAL(0, world.boundWrites);
   }
--- a/tests/scheduling/restart_lease_test.cpp
+++ b/tests/scheduling/restart_lease_test.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::int64_t kLongMs = 60'000;
-constexpr std::int64_t kIntervalMs = 100;
 /** Age of the first incarnation, whose clock is that far ahead of the next. */
 constexpr std::int64_t kAgeMs = 60'000;
 /** Exceeds every lease and delay. */
@@ -21,17 +20,6 @@
   return Valid(DomainTimingBuilder().WorkerLease(Milliseconds(10'000)));
 }
 
-/** Polls all workers and runs a pass every 100 ms for aMs milliseconds. */
-void
-Run(DomainWorld& aWorld, std::int64_t aMs)
-{
-  for (std::int64_t passed = 0; passed < aMs; passed += kIntervalMs) {
-    aWorld.PollAll();
-    aWorld.Pass({});
-    aWorld.Advance(kIntervalMs);
-  }
-}
-
 /** Two workers of which "w1" is full for long, so that the next task is placed
  * on "w0". */
 class RestartedWorker
@@ -40,7 +28,7 @@
   RestartedWorker()
     : world(2, 2, LongLeaseTiming())
   {
-    Run(this->world, kAgeMs);
+    this->world.RunFor(kAgeMs);
     this->world.cutOff.insert("w0");
     this->world.PollAll();
     this->world.Submit(
@@ -98,7 +86,7 @@
     restarted.world.cutOff.clear();
     restarted.world.PollAll();
     restarted.world.cutOff.insert("w0");
-    Run(restarted.world, kWatchMs);
+    restarted.world.RunFor(kWatchMs);
     CPPUNIT_ASSERT(!restarted.Runs("w1").empty());
     CheckNoViolation(restarted.world);
   }
@@ -114,7 +102,7 @@
     restarted.world.cutOff.clear();
     restarted.world.PollAll();
     restarted.world.cutOff.insert("w0");
-    Run(restarted.world, kWatchMs);
+    restarted.world.RunFor(kWatchMs);
     CheckNoViolation(restarted.world);
   }
 
@@ -133,7 +121,7 @@
     world.Pass({});
     CPPUNIT_ASSERT(!restarted.Runs("w0").empty());
     world.cutOff.insert("w0");
-    Run(world, kWatchMs);
+    world.RunFor(kWatchMs);
     CheckNoViolation(world);
   }
 
@@ -148,7 +136,7 @@
     restarted.world.cutOff.insert("w0");
     restarted.world.Advance(5000);
     CPPUNIT_ASSERT(restarted.Runs("w0").empty());
-    Run(restarted.world, kWatchMs);
+    restarted.world.RunFor(kWatchMs);
     CheckNoViolation(restarted.world);
   }
 
@@ -161,7 +149,7 @@
     DomainWorld& world = restarted.world;
     world.Submit(
       MakeAdmitted("first", 1, { Valid(QuarterStep(1)) }), 500, false);
-    Run(world, 2000);
+    world.RunFor(2000);
     world.Poll("w0", OrderFault::kLate);
     world.RestartWorker("w0", true);
     world.PollAll();
@@ -179,7 +167,7 @@
   void OldWorkerKeepsTheGrantedLeaseAfterTakeover()
   {
     DomainWorld world(2, 2, LongLeaseTiming());
-    Run(world, kAgeMs);
+    world.RunFor(kAgeMs);
     world.TakeOver();
     world.PollAll();
     CPPUNIT_ASSERT_EQUAL(std::int64_t{ 0 }, world.Domain().LongLeases());
--- a/tests/scheduling/stored_end_test.cpp
+++ b/tests/scheduling/stored_end_test.cpp
@@ -7,21 +7,9 @@
 namespace {
 
 constexpr std::int64_t kLongMs = 60'000;
-constexpr std::int64_t kIntervalMs = 100;
 /** Time for the next holder to poll its workers and to start what waits. */
 constexpr std::int64_t kStartMs = 1000;
 
-/** Polls all workers and runs a pass every 100 ms for aMs milliseconds. */
-void
-Run(DomainWorld& aWorld, std::int64_t aMs)
-{
-  for (std::int64_t passed = 0; passed < aMs; passed += kIntervalMs) {
-    aWorld.PollAll();
-    aWorld.Pass({});
-    aWorld.Advance(kIntervalMs);
-  }
-}
-
 /** Submits a job that fills one worker. */
 void
 SubmitWholeWorker(DomainWorld& aWorld,
@@ -47,9 +35,9 @@
 {
   aWorld.PollAll();
   SubmitWholeWorker(aWorld, "stopped", 2, kLongMs);
-  Run(aWorld, 500);
+  aWorld.RunFor(500);
   SubmitWholeWorker(aWorld, "other", 0, aOtherWorkMs);
-  Run(aWorld, 500);
+  aWorld.RunFor(500);
   return UnitOf(aWorld, "stopped").Members().front().worker.Text();
 }
 
@@ -89,12 +77,12 @@
       DomainWorld world(2, 1);
       const std::string lost = FillFleet(world, 4000);
       Preempt(world);
-      Run(world, 1500);
+      world.RunFor(1500);
       CPPUNIT_ASSERT(UnitOf(world, "stopped").Idle());
       world.RemoveWorker(lost);
       world.Advance(3000);
       world.TakeOver(isReleased);
-      Run(world, kStartMs);
+      world.RunFor(kStartMs);
       CPPUNIT_ASSERT(RunsAgain(world, "stopped"));
       CPPUNIT_ASSERT(world.site.Violations().empty());
     }
@@ -107,10 +95,10 @@
     DomainWorld world(2, 1);
     const std::string lost = FillFleet(world, 32'000);
     world.RemoveWorker(lost);
-    Run(world, 30'000);
+    world.RunFor(30'000);
     CPPUNIT_ASSERT(UnitOf(world, "stopped").Idle());
     world.TakeOver(false);
-    Run(world, 2000);
+    world.RunFor(2000);
     CPPUNIT_ASSERT(RunsAgain(world, "stopped"));
   }
 
@@ -121,12 +109,12 @@
     const std::string worker = FillFleet(world, kLongMs);
     world.isStoreDown = true;
     Preempt(world);
-    Run(world, 1500);
+    world.RunFor(1500);
     CPPUNIT_ASSERT(UnitOf(world, "stopped").Idle());
     CPPUNIT_ASSERT_EQUAL(std::size_t{ 1 },
                          world.site.workers.at(worker).ListedEnds().size());
     world.isStoreDown = false;
-    Run(world, 500);
+    world.RunFor(500);
     CPPUNIT_ASSERT(world.site.workers.at(worker).ListedEnds().empty());
   }
 };
--- a/tool/job_timeline.cpp
+++ b/tool/job_timeline.cpp
@@ -170,6 +170,12 @@
   }
 }
 
+std::string
+CountRuns(int aCount)
+{
+  return std::to_string(aCount) + (aCount == 1 ? " run" : " runs");
+}
+
 void
 AddFailureCauses(const std::vector<HostEvent>& aEvents,
                  const std::string& aJob,
@@ -187,8 +193,7 @@
   if (failures == 0) {
     return;
   }
-  const std::string runs =
-    std::to_string(failures) + (failures == 1 ? " run" : " runs") + " failed";
+  const std::string runs = CountRuns(failures) + " failed";
   if (workers.size() == 1 && failures > 1) {
     aCauses.push_back(runs + ", all on " + *workers.begin() +
                       ": see the other run_ended lines of that worker");
@@ -257,12 +262,6 @@
   }
 }
 
-std::string
-CountRuns(int aCount)
-{
-  return std::to_string(aCount) + (aCount == 1 ? " run" : " runs");
-}
-
 /** Number of runs that an order stopped, by its cause; the cause is empty where
  * the log has none. */
 std::map<std::string, int>
